--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	@src/build-scripts/check-lint.bash
 
 thrift: ## regenerate the committed Thrift code (needs thrift-compiler)
-	@cd src/thrift && thrift --gen cpp:no_skeleton,moveable_types wire.thrift && rm -f gen-cpp/wire_constants.*
+	@cd src/thrift && for file in wire mesh; do thrift --gen cpp:no_skeleton,moveable_types $$file.thrift && rm -f gen-cpp/$${file}_constants.*; done
 
 clean: ## remove build results
 	@rm -rf build
--- a/src/camphord/main.cpp
+++ b/src/camphord/main.cpp
@@ -1,10 +1,13 @@
 // camphord: the node daemon. One runs beside each backend server instance.
 #include "camphord/daemon.h"
+#include "libsidecar/sidecar.h"
+#include "platform/boot_file.h"
 
 #include <camphortally/error.h>
 
 #include <cxxopts.hpp>
 
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 
@@ -36,6 +39,24 @@
     }
 }
 
+/// Serves on the users' platform, with the settings file that its environment names.
+int run_sidecar()
+{
+    const char* path = std::getenv(camphor::platform::boot_file_variable);
+    if (path == nullptr) {
+        std::cerr << "camphord: " << camphor::platform::boot_file_variable << " is not set\n";
+        return exit_bad_settings;
+    }
+    try {
+        auto settings = camphor::platform::read_boot_file(camphor::shell::read_file(path));
+        camphor::sidecar::sidecar(std::move(settings)).run();
+        return exit_ok;
+    } catch (const camphor::platform::bad_boot_file& error) {
+        std::cerr << path << ": " << error.what() << '\n';
+        return exit_bad_settings;
+    }
+}
+
 int run(const cxxopts::ParseResult& arguments, const cxxopts::Options& options)
 {
     if (arguments.count("help") > 0) {
@@ -46,6 +67,9 @@
         std::cout << version_text << '\n';
         return exit_ok;
     }
+    if (arguments.count("platform") > 0) {
+        return run_sidecar();
+    }
     if (arguments.count("config") == 0) {
         std::cerr << "camphord: --config FILE is needed; see --help\n";
         return exit_bad_settings;
@@ -69,7 +93,8 @@
     try {
         cxxopts::Options options("camphord", "Node daemon of camphortally");
         options.add_options()("config", "node settings, JSON", cxxopts::value<std::string>())(
-            "check-config", "check the settings and exit")("help", "show this")("version",
+            "check-config", "check the settings and exit")(
+            "platform", "serve on the users' platform, settings from its file")("help", "show this")("version",
                                                                                 "show the version");
         return run(options.parse(argc, argv), options);
     } catch (const cxxopts::exceptions::exception& error) {
--- a/src/cmake/camphor_targets.cmake
+++ b/src/cmake/camphor_targets.cmake
@@ -5,6 +5,9 @@
 
 # camphor_test(NAME SOURCE... LIBS lib...): a Boost.Test program registered with CTest.
 function(camphor_test name)
+  if(CAMPHOR_DAEMON_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "LIBS;LABELS" ${ARGN})
   add_executable(${name} ${ARG_UNPARSED_ARGUMENTS})
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
--- /dev/null
+++ b/src/libmesh/mesh_settings.h
@@ -0,0 +1,55 @@
+// What a node of a mesh is told at its start.
+#pragma once
+
+#include <camphortally/ids.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace camphor::mesh {
+
+using std::chrono::milliseconds;
+
+struct listen_address {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/// Limits that the operators of the mesh set for all nodes.
+struct mesh_bounds {
+    /// A draining backend server takes requests for this long after its leaving was acknowledged.
+    milliseconds drain_timeout{2000};
+    /// Time between SIGTERM and SIGKILL.
+    milliseconds grace_period{6000};
+    /// An accepted configuration is in force everywhere after this time.
+    milliseconds config_apply{2000};
+    /// Retries that a service may get as a part of its requests, within `budget_window`.
+    double retry_ratio = 0.2;
+    /// Retries allowed in a window on top of the ratio, over all nodes.
+    double retry_extra = 50;
+    milliseconds budget_window{10000};
+    /// Part of a service's requests that a bad release may get during its roll-out.
+    double exposure_share = 0.1;
+    milliseconds heartbeat_interval{1500};
+};
+
+struct mesh_settings {
+    node_id node;
+    zone_id zone;
+    /// The service of the backend server beside this node.
+    service_id service;
+    listen_address app;
+    listen_address inbound;
+    listen_address outbound;
+    listen_address ready;
+    listen_address control;
+    /// Where other nodes connect.
+    listen_address peers;
+    listen_address metrics;
+    listen_address store;
+    mesh_bounds bounds;
+    std::size_t memory_bytes = 0;
+};
+
+} // namespace camphor::mesh
--- /dev/null
+++ b/src/libmesh/node.h
@@ -0,0 +1,239 @@
+// The decisions of one node of a mesh: one reducer over all events, with effects as data.
+#pragma once
+
+#include "libmesh/directory.h"
+#include "libmesh/mesh_config.h"
+#include "libmesh/mesh_settings.h"
+#include "libmesh/messages.h"
+#include "libmesh/placement.h"
+#include "libmesh/retry_window.h"
+#include "libmesh/slot_queue.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace camphor::mesh {
+
+/// One request sent on behalf of a client's call, to the own backend server or through its owner.
+using attempt_id = strong_value<struct attempt_id_tag, std::uint64_t>;
+
+/// Counters since the start of the process.
+struct node_counters {
+    std::uint64_t requests = 0;
+    std::uint64_t delivered = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t runs = 0;
+    std::uint64_t owner_refusals = 0;
+    std::map<std::string, std::uint64_t> refusals_by_reason;
+};
+
+class node {
+public:
+    /// `boot` orders the lives of this node; `seed` feeds every random choice.
+    node(mesh_settings settings, std::int64_t boot, std::uint64_t seed);
+
+    /// Handles one event. Pure: `now` never decreases.
+    effect_list step(const event& happened, time_point now);
+    /// When step() wants a time_passed at the latest.
+    time_point next_due(time_point now) const;
+
+    /// Takes new requests from clients: knows a configuration and is not stopping.
+    bool is_ready() const { return config_ && !stopping_; }
+    bool is_stopping() const { return stopping_; }
+    const mesh_config_ptr& config() const { return config_; }
+    const node_counters& counters() const { return counters_; }
+    const slot_queue& queue() const { return queue_; }
+    const directory& peers() const { return peers_; }
+    const std::optional<backend>& own_backend() const { return own_; }
+    /// This node, as it introduces itself.
+    const mesh_wire::node_record& record() const { return record_; }
+
+private:
+    struct attempt {
+        attempt_id id;
+        /// Owner; the own node's name for the backend server beside this node.
+        node_id owner;
+        backend_id backend;
+        release_id release;
+        time_point started;
+        bool may_wait = false;
+    };
+
+    /// Invariant: while `may_have_run` is false no byte of the call reached a backend server that
+    /// has not said that it did not run it; only then the client is told "not run".
+    struct call_state {
+        call_id call;
+        request_ptr content;
+        /// One call keeps one configuration from start to end.
+        mesh_config_ptr config;
+        const route* way = nullptr;
+        service_id service;
+        time_point arrived;
+        /// The client or the route allows no later answer.
+        time_point deadline;
+        time_point client_deadline;
+        time_point objective;
+        bool may_have_run = false;
+        /// Backend servers that the call was sent to.
+        int arrivals = 0;
+        bool waited = false;
+        std::vector<attempt> attempts;
+        /// Owners not to ask again, with the wait that they named.
+        std::map<node_id, duration> refused_by;
+        /// Release that the call was given by a roll-out.
+        std::optional<release_id> release;
+        std::string last_reason;
+        answer_ptr failed_answer;
+        std::multimap<time_point, call_id>::iterator timer;
+    };
+
+    /// Who asked for a run.
+    struct run_origin {
+        std::optional<link_id> link;
+        attempt_id id;
+    };
+
+    struct run_state {
+        run_origin origin;
+        request_ptr content;
+        backend_id backend;
+        route_id way;
+        std::string caller_service;
+        time_point deadline;
+        bool safe = false;
+        bool sent = false;
+    };
+
+    struct run_result {
+        mesh_wire::run_outcome::type outcome{};
+        answer_ptr content;
+        std::string reason;
+        duration wait{};
+    };
+
+    struct link_state {
+        std::optional<node_id> peer;
+        bool dialled = false;
+        time_point last_sent{};
+        time_point last_received{};
+    };
+
+    // node.cpp
+    void take(const client_request& happened);
+    void take(const client_gone& happened);
+    void take(const app_answered& happened);
+    void take(const app_failed& happened);
+    void take(const backend_checked_in& happened);
+    void take(const backend_left& happened);
+    void take(const link_opened& happened);
+    void take(const link_closed& happened);
+    void take(const frame_arrived& happened);
+    void take(const config_read& happened);
+    void take(const order_read& happened);
+    void take(const rollout_status_read& happened);
+    void take(const nodes_listed& happened);
+    void take(const rows_read& happened);
+    void take(const time_passed& happened);
+    void take(const stop_asked& happened);
+    void log(log_level level, std::string name, const std::string& request, std::string detail);
+    double random_part();
+
+    // node_calls.cpp: requests of the clients on this machine.
+    service_id choose_service(const route& way);
+    void place(call_state& call);
+    std::vector<candidate> candidates(const call_state& call, std::vector<const backend*>& apps);
+    std::optional<candidate> own_candidate(const call_state& call) const;
+    bool fits(const backend& app, const call_state& call) const;
+    void send(call_state& call, const candidate& to, const backend& app, bool may_wait);
+    void on_result(attempt_id id, const run_result& result);
+    void on_refused(call_state& call, const attempt& tried, const run_result& result);
+    void on_not_executed(call_state& call, const run_result& result);
+    void on_failed(call_state& call, const run_result& result);
+    bool may_retry(call_state& call, duration expected);
+    void give_up(call_state& call, const std::string& reason);
+    void refuse(call_state& call, const std::string& reason);
+    void on_call_due(call_id id);
+    void drop_attempts(call_state& call);
+    void end_call(call_id id);
+    double crossing_cost(const call_state& call) const;
+    void learn_size(const call_state& call, const answer& content);
+
+    // node_owner.cpp: the backend server beside this node.
+    void offer_run(const run_origin& origin, const mesh_wire::run_request& wanted,
+                   request_ptr content);
+    void start_run(run_id id);
+    void finish_run(run_id id, const run_result& result, bool learned);
+    void refuse_waiting(const std::string& reason);
+    void cancel_run(const run_origin& origin);
+    void start_waiting();
+    void note_outcome(bool failed);
+    void retire_backend(backend_state state, const std::string& reason);
+    mesh_wire::owner_load load(const route_id& way) const;
+    mesh_wire::run_answer answer_frame(const run_origin& origin, const run_result& result,
+                                       const route_id& way) const;
+
+    // node_peers.cpp: connections to other nodes and what they tell.
+    void dial_missing();
+    void send_frame(link_id link, mesh_wire::mesh_frame frame);
+    mesh_wire::mesh_frame state_frame() const;
+    void broadcast_state();
+    void on_state(link_id link, const mesh_wire::node_state& state);
+    void on_answer(link_id link, const mesh_wire::run_answer& frame);
+    void on_rows(link_id link, const mesh_wire::rows_push& frame);
+    void on_pull(link_id link, const mesh_wire::rows_pull& frame);
+    void update_room(peer& from, const mesh_wire::owner_load& load, const route_id* way);
+    void lose_peer(peer& lost);
+    void pull_if_behind();
+    void choose_watchers();
+
+    mesh_settings settings_;
+    mesh_wire::node_record record_;
+    std::mt19937_64 random_;
+    time_point now_{};
+    effect_list out_;
+
+    mesh_config_ptr config_;
+    std::map<service_id, rollout_order> orders_;
+    std::map<service_id, rollout_status_read> rollouts_;
+    /// Operators' rows by key, as last read, for nodes that ask.
+    std::map<std::string, mesh_wire::operator_row> rows_;
+    std::int64_t read_up_to_ = 0;
+
+    std::unordered_map<call_id, call_state> calls_;
+    std::unordered_map<attempt_id, call_id> attempts_;
+    std::multimap<time_point, call_id> timers_;
+    std::uint64_t last_attempt_ = 0;
+    std::map<service_id, retry_window> budgets_;
+    /// Smooth weighted round robin: what each service of a route is owed.
+    std::map<route_id, std::map<service_id, double>> credits_;
+    /// Bytes that an answer of a route has on the average.
+    std::map<route_id, double> answer_bytes_;
+
+    std::optional<backend> own_;
+    std::int64_t own_sequence_ = 0;
+    slot_queue queue_;
+    std::map<run_id, run_state> runs_;
+    std::uint64_t last_run_ = 0;
+    /// Part of the recent answers that were failures.
+    double failing_ = 0;
+
+    directory peers_;
+    std::map<link_id, link_state> links_;
+    std::int64_t revision_ = 0;
+    bool store_fresh_ = false;
+    time_point next_list_{};
+    time_point next_report_{};
+    bool following_ = true;
+
+    bool stopping_ = false;
+    bool told_stopped_ = false;
+    time_point stop_asked_at_{};
+    node_counters counters_;
+};
+
+} // namespace camphor::mesh
--- /dev/null
+++ b/src/libmesh/node_calls.cpp
@@ -0,0 +1,502 @@
+// The requests of the clients on this machine: route, place, retry, refuse.
+#include "libmesh/node.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace camphor::mesh {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Owners that are asked for a free slot before the call waits at one.
+constexpr std::size_t most_refusals = 4;
+/// Value of a request that a kilobyte between zones costs; operators of both meshes price it so.
+constexpr double crossing_kilobyte_cost = 0.03;
+/// Bytes of a request, its answer's head and their frames.
+constexpr double head_bytes = 500;
+/// Assumed size of a route's answers before the first.
+constexpr double first_answer_bytes = 1500;
+/// Part of the mesh's retry budget that the nodes spend: calls made by a repeated run count as
+/// repeats too, and no node sees those of the others.
+constexpr double budget_part = 0.5;
+/// Clients come back after at most this part of the time that they have left.
+constexpr int return_part = 3;
+/// Named to clients when nothing is known of the time until a request could be served.
+constexpr auto unknown_wait = 1s;
+
+std::string name_of(mesh_wire::run_outcome::type outcome)
+{
+    switch (outcome) {
+    case mesh_wire::run_outcome::answered:
+        return "answered";
+    case mesh_wire::run_outcome::refused:
+        return "refused";
+    case mesh_wire::run_outcome::failed:
+        return "failed";
+    case mesh_wire::run_outcome::not_executed:
+        return "not_executed";
+    }
+    return "unknown";
+}
+
+std::string millis(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
+}
+
+} // namespace
+
+void node::take(const client_request& happened)
+{
+    ++counters_.requests;
+    const auto& content = *happened.content;
+    const auto refuse_early = [&](std::int32_t status, const std::string& reason) {
+        ++counters_.refusals_by_reason[reason];
+        log(log_level::warning, "request.refused", content.id,
+            "reason=" + reason + " host=" + content.host + " target=" + content.target +
+                " status=" + std::to_string(status) + " config_version=" +
+                std::to_string(config_ ? config_->version().value() : 0));
+        std::optional<milliseconds> retry_after;
+        if (status == 503) {
+            retry_after = 500ms;
+        }
+        out_.emplace_back(deliver_refusal{happened.call, status, reason, retry_after});
+    };
+    if (!config_) {
+        refuse_early(503, "no_configuration");
+        return;
+    }
+    const auto* way = config_->match(content.host, content.target);
+    if (way == nullptr) {
+        refuse_early(404, "no_route");
+        return;
+    }
+    call_state call;
+    call.call = happened.call;
+    call.content = happened.content;
+    call.config = config_;
+    call.way = way;
+    call.arrived = now_;
+    const auto patience = happened.patience.value_or(way->timeout);
+    call.client_deadline = now_ + patience;
+    call.deadline = now_ + std::min<duration>(patience, way->timeout);
+    call.objective = now_ + way->objective;
+    call.service = choose_service(*way);
+    auto& budget = budgets_.try_emplace(call.service, settings_.bounds.budget_window).first->second;
+    budget.on_request(now_);
+    call.timer = timers_.emplace(call.deadline, call.call);
+    auto& stored = calls_.emplace(call.call, std::move(call)).first->second;
+    place(stored);
+}
+
+void node::take(const client_gone& happened)
+{
+    const auto found = calls_.find(happened.call);
+    if (found == calls_.end()) {
+        return;
+    }
+    log(log_level::info, "request.client_gone", found->second.content->id,
+        "after_ms=" + millis(now_ - found->second.arrived));
+    drop_attempts(found->second);
+    end_call(happened.call);
+}
+
+service_id node::choose_service(const route& way)
+{
+    if (way.targets.size() == 1) {
+        return way.targets.front().service;
+    }
+    // Smooth weighted round robin keeps each share exact over short spans.
+    auto& credit = credits_[way.name];
+    double sum = 0;
+    const weighted_service* best = nullptr;
+    for (const auto& item : way.targets) {
+        sum += item.weight;
+        if (!credit.contains(item.service)) {
+            credit[item.service] = random_part() * item.weight;
+        }
+        credit[item.service] += item.weight;
+        if (item.weight > 0 && (best == nullptr || credit[item.service] > credit[best->service])) {
+            best = &item;
+        }
+    }
+    credit[best->service] -= sum;
+    return best->service;
+}
+
+bool node::fits(const backend& app, const call_state& call) const
+{
+    if (app.service != call.service || !app.takes_work()) {
+        return false;
+    }
+    const auto rollout = rollouts_.find(app.service);
+    if (rollout == rollouts_.end()) {
+        const auto order = orders_.find(app.service);
+        return order == orders_.end() || order->second.target != app.release;
+    }
+    const bool is_target = rollout->second.target == app.release;
+    switch (rollout->second.phase) {
+    case rollout_phase::completed:
+        return is_target;
+    case rollout_phase::rolled_back:
+        return !is_target;
+    case rollout_phase::running:
+        return is_target == (call.release == app.release);
+    }
+    return true;
+}
+
+std::vector<candidate> node::candidates(const call_state& call, std::vector<const backend*>& apps)
+{
+    std::vector<candidate> out;
+    if (own_ && !stopping_ && fits(*own_, call)) {
+        candidate item;
+        item.node = settings_.node;
+        item.same_zone = true;
+        item.running = queue_.running();
+        item.waiting = queue_.waiting();
+        item.slots = queue_.slots();
+        item.hold = queue_.hold(call.way->name, queue_.mean_hold());
+        item.failing = failing_;
+        out.push_back(item);
+        apps.push_back(&*own_);
+    }
+    for (const auto& [name, other] : peers_.all()) {
+        if (!other.link || !other.app || other.stopping || !fits(*other.app, call)) {
+            continue;
+        }
+        candidate item;
+        item.node = name;
+        item.same_zone = other.record.zone == settings_.zone.value();
+        item.running = other.space.running + other.space.sent_since;
+        item.waiting = other.space.waiting;
+        item.slots = other.app->slots;
+        item.hold = other.space.holds.of(call.way->name, other.space.mean_hold);
+        if (other.app->cold_until > now_) {
+            item.hold *= 2;
+        }
+        item.failing = other.space.failing;
+        out.push_back(item);
+        apps.push_back(&*other.app);
+    }
+    return out;
+}
+
+double node::crossing_cost(const call_state& call) const
+{
+    constexpr double kilobyte = 1000;
+    const auto known = answer_bytes_.find(call.way->name);
+    const double answer = known == answer_bytes_.end() ? first_answer_bytes : known->second;
+    const auto request = static_cast<double>(call.content->body.size());
+    return (answer + request + head_bytes) / kilobyte * crossing_kilobyte_cost;
+}
+
+void node::learn_size(const call_state& call, const answer& content)
+{
+    constexpr double newest_part = 0.1;
+    auto& mean = answer_bytes_.try_emplace(call.way->name, content.body.size()).first->second;
+    mean += (static_cast<double>(content.body.size()) - mean) * newest_part;
+}
+
+void node::place(call_state& call)
+{
+    std::vector<const backend*> apps;
+    const auto all = candidates(call, apps);
+    if (all.empty()) {
+        give_up(call, "no_backend");
+        return;
+    }
+    placement_request wanted;
+    wanted.objective_left = call.objective - now_;
+    wanted.crossing_cost = crossing_cost(call);
+    wanted.jitter = random_part();
+    // First those that seem to have a free slot; a wrong guess costs one short exchange.
+    std::vector<candidate> open;
+    std::vector<const backend*> open_apps;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const bool free = all[i].running + all[i].waiting < all[i].slots;
+        if (free && !call.refused_by.contains(all[i].node)) {
+            open.push_back(all[i]);
+            open_apps.push_back(apps[i]);
+        }
+    }
+    const auto chosen = choose(open, wanted);
+    if (chosen && !call.waited && call.refused_by.size() < most_refusals) {
+        const auto picked = *chosen;
+        send(call, open[picked], *open_apps[picked], false);
+        return;
+    }
+    if (call.waited) {
+        refuse(call, "overload");
+        return;
+    }
+    // No free slot anywhere: wait where the wait is shortest.
+    call.waited = true;
+    auto waiting = all;
+    for (auto& item : waiting) {
+        const auto refused = call.refused_by.find(item.node);
+        if (refused != call.refused_by.end()) {
+            const auto behind = static_cast<int>(refused->second / std::max(item.hold / std::max(item.slots, 1), duration(1)));
+            item.waiting = std::max(item.waiting, behind);
+            item.running = std::max(item.running, item.slots);
+        }
+    }
+    const auto best = *choose(waiting, wanted);
+    send(call, waiting[best], *apps[best], true);
+}
+
+void node::send(call_state& call, const candidate& to, const backend& app, bool may_wait)
+{
+    attempt made;
+    made.id = attempt_id{++last_attempt_};
+    made.owner = to.node;
+    made.backend = app.id;
+    made.release = app.release;
+    made.started = now_;
+    made.may_wait = may_wait;
+    const auto id = made.id;
+    const auto call_key = call.call;
+    mesh_wire::run_request wanted;
+    wanted.__set_call(static_cast<std::int64_t>(id.value()));
+    wanted.__set_backend(app.id.value());
+    wanted.__set_route(call.way->name.value());
+    wanted.__set_caller_service(settings_.service.value());
+    wanted.__set_rank(call.way->priority);
+    wanted.__set_may_wait(may_wait);
+    wanted.__set_safe(call.way->safe);
+    wanted.__set_repeated(call.arrivals > 0);
+    const auto left = std::chrono::duration_cast<milliseconds>(call.deadline - now_).count();
+    wanted.__set_time_left_ms(static_cast<std::int32_t>(left));
+    const auto objective =
+        std::chrono::duration_cast<milliseconds>(call.objective - now_).count();
+    wanted.__set_objective_left_ms(static_cast<std::int32_t>(objective));
+    call.attempts.push_back(made);
+    attempts_.emplace(id, call_key);
+    if (to.node == settings_.node) {
+        offer_run({std::nullopt, id}, wanted, call.content);
+        return;
+    }
+    auto* owner = peers_.find(to.node);
+    ++owner->space.in_flight;
+    ++owner->space.sent_since;
+    wanted.__set_method(call.content->method);
+    wanted.__set_target(call.content->target);
+    wanted.__set_head(call.content->head);
+    wanted.__set_body(call.content->body);
+    wanted.__set_request_id(call.content->id);
+    mesh_wire::mesh_frame frame;
+    frame.__set_run(std::move(wanted));
+    send_frame(*owner->link, std::move(frame));
+}
+
+void node::on_result(attempt_id id, const run_result& result)
+{
+    const auto known = attempts_.find(id);
+    if (known == attempts_.end()) {
+        return;
+    }
+    auto& call = calls_.at(known->second);
+    attempts_.erase(known);
+    const auto position = std::find_if(call.attempts.begin(), call.attempts.end(),
+                                       [&](const attempt& item) { return item.id == id; });
+    const auto tried = *position;
+    call.attempts.erase(position);
+    if (result.outcome != mesh_wire::run_outcome::answered) {
+        log(log_level::info, "attempt.not_served", call.content->id,
+            "owner=" + tried.owner.value() + " backend=" + tried.backend.value() + " outcome=" +
+                name_of(result.outcome) + " reason=" + result.reason + " wait_ms=" +
+                millis(result.wait) + " after_ms=" + millis(now_ - tried.started));
+    }
+    switch (result.outcome) {
+    case mesh_wire::run_outcome::answered:
+        if (result.content->status >= 500 && call.way->safe) {
+            call.may_have_run = true;
+            ++call.arrivals;
+            call.failed_answer = result.content;
+            on_failed(call, result);
+            return;
+        }
+        ++counters_.delivered;
+        learn_size(call, *result.content);
+        out_.emplace_back(deliver_answer{call.call, result.content});
+        drop_attempts(call);
+        end_call(call.call);
+        return;
+    case mesh_wire::run_outcome::refused:
+        on_refused(call, tried, result);
+        return;
+    case mesh_wire::run_outcome::not_executed:
+        ++call.arrivals;
+        on_not_executed(call, result);
+        return;
+    case mesh_wire::run_outcome::failed:
+        call.may_have_run = true;
+        ++call.arrivals;
+        on_failed(call, result);
+        return;
+    }
+}
+
+void node::on_refused(call_state& call, const attempt& tried, const run_result& result)
+{
+    if (!call.attempts.empty()) {
+        return;
+    }
+    call.refused_by[tried.owner] = result.wait;
+    call.last_reason = result.reason;
+    if (tried.may_wait && result.reason == "overload") {
+        refuse(call, "overload");
+        return;
+    }
+    if (tried.may_wait) {
+        call.waited = false;
+    }
+    if (call.refused_by.size() > most_refusals + 1) {
+        refuse(call, result.reason);
+        return;
+    }
+    place(call);
+}
+
+bool node::may_retry(call_state& call, duration expected)
+{
+    if (call.arrivals >= call.way->max_attempts || now_ + expected > call.deadline) {
+        return false;
+    }
+    const auto nodes = static_cast<double>(peers_.all().size() + 1);
+    const auto& bounds = settings_.bounds;
+    auto& budget = budgets_.try_emplace(call.service, bounds.budget_window).first->second;
+    if (!budget.try_spend(bounds.retry_ratio * budget_part, bounds.retry_extra * budget_part / nodes,
+                          now_)) {
+        call.last_reason = "retry_budget";
+        return false;
+    }
+    ++counters_.retries;
+    return true;
+}
+
+void node::on_not_executed(call_state& call, const run_result& result)
+{
+    call.last_reason = result.reason;
+    if (!call.attempts.empty()) {
+        return;
+    }
+    call.waited = false;
+    if (may_retry(call, queue_.mean_hold())) {
+        place(call);
+        return;
+    }
+    give_up(call, "not_executed");
+}
+
+void node::on_failed(call_state& call, const run_result& result)
+{
+    call.last_reason = result.reason;
+    if (!call.attempts.empty()) {
+        return;
+    }
+    call.waited = false;
+    if (call.way->safe && may_retry(call, queue_.mean_hold())) {
+        place(call);
+        return;
+    }
+    give_up(call, "failed");
+}
+
+void node::give_up(call_state& call, const std::string& reason)
+{
+    if (!call.may_have_run) {
+        refuse(call, reason);
+        return;
+    }
+    ++counters_.failed;
+    ++counters_.refusals_by_reason[reason];
+    log(log_level::warning, "request.failed", call.content->id,
+        "reason=" + reason + " last=" + call.last_reason + " route=" + call.way->name.value() +
+            " service=" + call.service.value() + " arrivals=" + std::to_string(call.arrivals) +
+            " after_ms=" + millis(now_ - call.arrived) +
+            " config_version=" + std::to_string(call.config->version().value()));
+    if (call.failed_answer) {
+        out_.emplace_back(deliver_answer{call.call, call.failed_answer});
+    } else {
+        const bool timed_out = now_ >= call.deadline;
+        out_.emplace_back(deliver_refusal{call.call, timed_out ? 504 : 502, reason, std::nullopt});
+    }
+    drop_attempts(call);
+    end_call(call.call);
+}
+
+void node::refuse(call_state& call, const std::string& reason)
+{
+    if (call.may_have_run) {
+        give_up(call, reason);
+        return;
+    }
+    ++counters_.refusals_by_reason[reason];
+    duration wait = unknown_wait;
+    for (const auto& [owner, named] : call.refused_by) {
+        wait = std::min(wait, named);
+    }
+    const auto left = call.client_deadline - now_;
+    const bool may_return = wait <= left / return_part;
+    const auto spread = duration(static_cast<duration::rep>(static_cast<double>((left / return_part - wait).count()) * random_part()));
+    const auto after = may_return ? wait + spread : left;
+    log(log_level::warning, "request.refused", call.content->id,
+        "reason=" + reason + " last=" + call.last_reason + " route=" + call.way->name.value() +
+            " service=" + call.service.value() + " owners=" +
+            std::to_string(call.refused_by.size()) + " wait_ms=" + millis(wait) +
+            " retry_after_ms=" + millis(after) + " after_ms=" + millis(now_ - call.arrived) +
+            " config_version=" + std::to_string(call.config->version().value()));
+    out_.emplace_back(deliver_refusal{call.call, 503, reason,
+                                      std::chrono::duration_cast<milliseconds>(after)});
+    drop_attempts(call);
+    end_call(call.call);
+}
+
+void node::on_call_due(call_id id)
+{
+    auto& call = calls_.at(id);
+    for (const auto& item : call.attempts) {
+        // An owner that was asked last may have started it.
+        const bool own = item.owner == settings_.node;
+        const auto run = std::find_if(runs_.begin(), runs_.end(), [&](const auto& entry) {
+            return own && !entry.second.origin.link && entry.second.origin.id == item.id;
+        });
+        if (!own || run == runs_.end() || run->second.sent) {
+            call.may_have_run = true;
+        }
+    }
+    give_up(call, "deadline");
+}
+
+void node::drop_attempts(call_state& call)
+{
+    for (const auto& item : call.attempts) {
+        attempts_.erase(item.id);
+        if (item.owner == settings_.node) {
+            cancel_run({std::nullopt, item.id});
+            continue;
+        }
+        auto* owner = peers_.find(item.owner);
+        if (owner != nullptr && owner->link) {
+            owner->space.in_flight = std::max(0, owner->space.in_flight - 1);
+            mesh_wire::cancel_run order;
+            order.__set_call(static_cast<std::int64_t>(item.id.value()));
+            mesh_wire::mesh_frame frame;
+            frame.__set_cancel(order);
+            send_frame(*owner->link, std::move(frame));
+        }
+    }
+    call.attempts.clear();
+}
+
+void node::end_call(call_id id)
+{
+    const auto found = calls_.find(id);
+    timers_.erase(found->second.timer);
+    calls_.erase(found);
+}
+
+} // namespace camphor::mesh
--- /dev/null
+++ b/src/libmesh/node_peers.cpp
@@ -0,0 +1,342 @@
+// Connections to other nodes, and what they tell each other.
+#include "libmesh/node.h"
+
+#include <algorithm>
+
+namespace camphor::mesh {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Pause before the first dial of a lost node; doubled for each dial that fails.
+constexpr duration first_redial = 50ms;
+constexpr int most_doublings = 5;
+/// A node that could not be reached for this long is forgotten; its return tells of itself.
+constexpr auto forget_after = 120s;
+constexpr double permille_of_one = 1000;
+
+} // namespace
+
+void node::take(const nodes_listed& happened)
+{
+    for (const auto& record : happened.nodes) {
+        if (record.node != settings_.node.value() && peers_.learn(record)) {
+            log(log_level::info, "peer.learned", "", "peer=" + record.node + " zone=" + record.zone);
+        }
+    }
+    dial_missing();
+}
+
+void node::dial_missing()
+{
+    for (auto entry = peers_.all().begin(); entry != peers_.all().end();) {
+        auto& other = entry->second;
+        if (!other.link && other.lost_at && now_ - *other.lost_at > forget_after) {
+            log(log_level::info, "peer.forgotten", "", "peer=" + entry->first.value());
+            entry = peers_.all().erase(entry);
+            continue;
+        }
+        if (!other.link && !other.dialling && now_ >= other.next_dial) {
+            other.dialling = true;
+            out_.emplace_back(dial_peer{other.record});
+        }
+        ++entry;
+    }
+}
+
+void node::take(const link_opened& happened)
+{
+    auto& link = links_[happened.link];
+    link.peer = happened.dialled;
+    link.dialled = happened.dialled.has_value();
+    link.last_received = now_;
+    if (!happened.dialled) {
+        return;
+    }
+    auto* other = peers_.find(*happened.dialled);
+    if (other == nullptr) {
+        out_.emplace_back(close_link{happened.link});
+        return;
+    }
+    other->link = happened.link;
+    other->dialling = false;
+    other->failed_dials = 0;
+    other->lost_at.reset();
+    send_frame(happened.link, state_frame());
+}
+
+void node::take(const link_closed& happened)
+{
+    links_.erase(happened.link);
+    std::vector<run_origin> orphans;
+    for (const auto& [id, run] : runs_) {
+        if (run.origin.link == happened.link) {
+            orphans.push_back(run.origin);
+        }
+    }
+    for (const auto& origin : orphans) {
+        cancel_run(origin);
+    }
+    auto* other = happened.dialled ? peers_.find(*happened.dialled) : nullptr;
+    if (other == nullptr || (other->link && *other->link != happened.link)) {
+        return;
+    }
+    lose_peer(*other);
+}
+
+void node::lose_peer(peer& lost)
+{
+    const bool was_open = lost.link.has_value();
+    lost.link.reset();
+    lost.dialling = false;
+    lost.next_dial = now_ + first_redial * (1 << std::min(lost.failed_dials, most_doublings));
+    ++lost.failed_dials;
+    lost.space.in_flight = 0;
+    if (!lost.lost_at) {
+        lost.lost_at = now_;
+    }
+    if (!was_open) {
+        return;
+    }
+    log(log_level::warning, "peer.lost", "", "peer=" + lost.record.node);
+    const node_id name{lost.record.node};
+    std::vector<attempt_id> broken;
+    for (const auto& [id, call] : attempts_) {
+        const auto& made = calls_.at(call).attempts;
+        const auto hit = std::find_if(made.begin(), made.end(),
+                                      [&, key = id](const attempt& item) { return item.id == key; });
+        if (hit != made.end() && hit->owner == name) {
+            broken.push_back(id);
+        }
+    }
+    for (const auto id : broken) {
+        on_result(id, {mesh_wire::run_outcome::failed, nullptr, "peer_lost", {}});
+    }
+}
+
+void node::send_frame(link_id link, mesh_wire::mesh_frame frame)
+{
+    const auto known = links_.find(link);
+    if (known == links_.end()) {
+        return;
+    }
+    known->second.last_sent = now_;
+    out_.emplace_back(send_to_peer{link, std::move(frame)});
+}
+
+mesh_wire::mesh_frame node::state_frame() const
+{
+    mesh_wire::node_state state;
+    state.__set_sender(record_);
+    state.__set_revision(revision_);
+    if (own_) {
+        state.__set_backend(to_wire(*own_, now_));
+    }
+    state.__set_load(load(route_id{}));
+    state.__set_stopping(stopping_);
+    state.__set_config_version(config_ ? config_->version().value() : 0);
+    state.__set_store_fresh(store_fresh_);
+    mesh_wire::mesh_frame frame;
+    frame.__set_state(std::move(state));
+    return frame;
+}
+
+void node::broadcast_state()
+{
+    ++revision_;
+    const auto frame = state_frame();
+    // Those that dialled this node send it requests: they need to know.
+    for (const auto& [id, link] : links_) {
+        if (!link.dialled) {
+            out_.emplace_back(send_to_peer{id, frame});
+        }
+    }
+}
+
+void node::take(const frame_arrived& happened)
+{
+    const auto known = links_.find(happened.link);
+    if (known == links_.end()) {
+        return;
+    }
+    known->second.last_received = now_;
+    const auto& frame = *happened.frame;
+    if (frame.__isset.state) {
+        on_state(happened.link, frame.state);
+    }
+    if (frame.__isset.run) {
+        auto content = std::make_shared<request>();
+        content->method = frame.run.method;
+        content->target = frame.run.target;
+        content->head = frame.run.head;
+        content->body = frame.run.body;
+        content->id = frame.run.request_id;
+        offer_run({happened.link, attempt_id{static_cast<std::uint64_t>(frame.run.call)}},
+                  frame.run, std::move(content));
+    }
+    if (frame.__isset.answer) {
+        on_answer(happened.link, frame.answer);
+    }
+    if (frame.__isset.cancel) {
+        cancel_run({happened.link, attempt_id{static_cast<std::uint64_t>(frame.cancel.call)}});
+    }
+    if (frame.__isset.rows) {
+        on_rows(happened.link, frame.rows);
+    }
+    if (frame.__isset.pull) {
+        on_pull(happened.link, frame.pull);
+    }
+}
+
+void node::on_state(link_id link, const mesh_wire::node_state& state)
+{
+    const node_id name{state.sender.node};
+    if (name == settings_.node) {
+        return;
+    }
+    if (peers_.learn(state.sender)) {
+        log(log_level::info, "peer.learned", "",
+            "peer=" + state.sender.node + " zone=" + state.sender.zone);
+    }
+    auto& from = *peers_.find(name);
+    auto& connection = links_.at(link);
+    const bool introduced = connection.peer.has_value();
+    connection.peer = name;
+    if (!connection.dialled && !introduced) {
+        send_frame(link, state_frame());
+        // It is alive: do not wait for the next dial.
+        from.next_dial = now_;
+        dial_missing();
+    }
+    if (state.sender.boot < from.record.boot || state.revision < from.revision) {
+        return;
+    }
+    from.revision = state.revision;
+    from.reported = true;
+    from.stopping = state.stopping;
+    from.config_version = state.config_version;
+    from.store_fresh = state.store_fresh;
+    if (state.__isset.backend) {
+        const auto seen = from_wire(state.backend, now_);
+        if (!from.app || from.app->id != seen.id || from.app->born != seen.born) {
+            from.space = {};
+        }
+        from.app = seen;
+    } else {
+        from.app.reset();
+    }
+    update_room(from, state.load, nullptr);
+}
+
+void node::update_room(peer& from, const mesh_wire::owner_load& load, const route_id* way)
+{
+    from.space.running = load.running;
+    from.space.waiting = load.waiting;
+    from.space.sent_since = 0;
+    from.space.failing = load.failing_permille / permille_of_one;
+    const milliseconds hold(load.hold_ms);
+    if (way == nullptr) {
+        from.space.mean_hold = hold;
+    } else if (hold.count() > 0) {
+        from.space.holds.add(*way, hold);
+    }
+    if (from.app) {
+        from.app->slots = load.slots > 0 ? load.slots : from.app->slots;
+    }
+}
+
+void node::on_answer(link_id link, const mesh_wire::run_answer& frame)
+{
+    const attempt_id id{static_cast<std::uint64_t>(frame.call)};
+    const auto& connection = links_.at(link);
+    auto* from = connection.peer ? peers_.find(*connection.peer) : nullptr;
+    const auto known = attempts_.find(id);
+    if (from != nullptr) {
+        const auto* way = known == attempts_.end() ? nullptr : &calls_.at(known->second).way->name;
+        if (way != nullptr) {
+            from->space.in_flight = std::max(0, from->space.in_flight - 1);
+            update_room(*from, frame.load, way);
+        }
+    }
+    run_result result;
+    result.outcome = frame.outcome;
+    result.reason = frame.reason;
+    result.wait = milliseconds(frame.wait_ms);
+    if (frame.outcome == mesh_wire::run_outcome::answered) {
+        auto content = std::make_shared<answer>();
+        content->status = frame.status;
+        content->head = frame.head;
+        content->body = frame.body;
+        result.content = std::move(content);
+    }
+    on_result(id, result);
+}
+
+void node::take(const rows_read& happened)
+{
+    store_fresh_ = happened.fresh;
+    read_up_to_ = std::max(read_up_to_, happened.read_up_to);
+    for (const auto& row : happened.rows) {
+        auto& known = rows_[row.key];
+        if (row.row_version >= known.row_version) {
+            known = row;
+        }
+    }
+}
+
+void node::on_rows(link_id, const mesh_wire::rows_push& frame)
+{
+    take_rows order;
+    for (const auto& row : frame.rows) {
+        auto& known = rows_[row.key];
+        if (row.row_version > known.row_version) {
+            known = row;
+            order.rows.push_back(row);
+        }
+    }
+    read_up_to_ = std::max(read_up_to_, frame.read_up_to);
+    if (!order.rows.empty()) {
+        order.read_up_to = read_up_to_;
+        out_.emplace_back(std::move(order));
+    }
+}
+
+void node::on_pull(link_id link, const mesh_wire::rows_pull& frame)
+{
+    mesh_wire::rows_push answer;
+    for (const auto& [key, row] : rows_) {
+        if (row.row_version > frame.have_up_to) {
+            answer.rows.push_back(row);
+        }
+    }
+    answer.__set_read_up_to(read_up_to_);
+    answer.__isset.rows = true;
+    mesh_wire::mesh_frame out;
+    out.__set_rows(std::move(answer));
+    send_frame(link, std::move(out));
+}
+
+void node::pull_if_behind()
+{
+    const auto own = config_ ? config_->version().value() : 0;
+    std::vector<link_id> ahead;
+    for (const auto& [name, other] : peers_.all()) {
+        if (other.link && other.config_version > own) {
+            ahead.push_back(*other.link);
+        }
+    }
+    if (ahead.empty() || now_ < next_list_) {
+        return;
+    }
+    constexpr auto pull_pause = 500ms;
+    next_list_ = now_ + pull_pause;
+    mesh_wire::rows_pull wanted;
+    wanted.__set_have_up_to(0);
+    mesh_wire::mesh_frame frame;
+    frame.__set_pull(wanted);
+    send_frame(ahead[static_cast<std::size_t>(random_part() * static_cast<double>(ahead.size()))],
+               std::move(frame));
+}
+
+} // namespace camphor::mesh
--- /dev/null
+++ b/src/libmesh/slot_queue.cpp
@@ -0,0 +1,105 @@
+// Admission to the slots of a backend server.
+#include "libmesh/slot_queue.h"
+
+#include <algorithm>
+
+namespace camphor::mesh {
+
+int slot_queue::free_slots() const
+{
+    return slots_ - running() - foreign_;
+}
+
+duration slot_queue::wait_behind(int ahead) const
+{
+    return mean_hold() * (ahead + 1) / std::max(slots_, 1);
+}
+
+slot_queue::decision slot_queue::offer(const slot_request& item, time_point now)
+{
+    if (slots_ > 0 && free_slots() > 0 && waiting_.empty()) {
+        running_.emplace(item.run, started{item.route, now});
+        return {verdict::run, {}};
+    }
+    const auto wanted = decide_wait(item, now);
+    if (wanted.what == verdict::wait) {
+        waiting_.emplace(waiting_key{item.rank, ++arrivals_}, item);
+    }
+    return wanted;
+}
+
+slot_queue::decision slot_queue::decide_wait(const slot_request& item, time_point now) const
+{
+    const auto behind = waiting_.upper_bound(waiting_key{item.rank, arrivals_ + 1});
+    const auto ahead = static_cast<int>(std::distance(waiting_.begin(), behind));
+    const auto wait = wait_behind(ahead);
+    if (slots_ == 0 || !item.may_wait) {
+        return {verdict::refuse, wait};
+    }
+    const auto done = now + wait + hold(item.route, mean_hold());
+    if (done > item.deadline) {
+        return {verdict::refuse, wait};
+    }
+    // Serving one that is late already takes a slot from one that could be in time.
+    const bool late_already = now + hold(item.route, mean_hold()) > item.objective;
+    if (late_already ? wait > mean_hold() : done > item.objective) {
+        return {verdict::refuse, wait};
+    }
+    return {verdict::wait, wait};
+}
+
+void slot_queue::finish(run_id run, bool answered, time_point now)
+{
+    const auto found = running_.find(run);
+    if (found != running_.end()) {
+        if (answered) {
+            holds_.add(found->second.route, now - found->second.at);
+        }
+        running_.erase(found);
+        return;
+    }
+    const auto queued = std::find_if(waiting_.begin(), waiting_.end(),
+                                     [&](const auto& entry) { return entry.second.run == run; });
+    if (queued != waiting_.end()) {
+        waiting_.erase(queued);
+    }
+}
+
+std::optional<run_id> slot_queue::start_next(time_point now)
+{
+    if (waiting_.empty() || free_slots() <= 0) {
+        return std::nullopt;
+    }
+    const auto first = waiting_.begin();
+    const auto run = first->second.run;
+    running_.emplace(run, started{first->second.route, now});
+    waiting_.erase(first);
+    return run;
+}
+
+std::vector<run_id> slot_queue::expire(time_point now)
+{
+    std::vector<run_id> out;
+    for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+        const auto& item = entry->second;
+        if (now + hold(item.route, mean_hold()) / 2 > item.deadline) {
+            out.push_back(item.run);
+            entry = waiting_.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    return out;
+}
+
+std::vector<run_id> slot_queue::clear_waiting()
+{
+    std::vector<run_id> out;
+    for (const auto& [key, item] : waiting_) {
+        out.push_back(item.run);
+    }
+    waiting_.clear();
+    return out;
+}
+
+} // namespace camphor::mesh
--- a/src/libshell/http_head.cpp
+++ b/src/libshell/http_head.cpp
@@ -40,7 +40,7 @@
 bool is_dropped(string_view name)
 {
     return std::any_of(dropped_fields.begin(), dropped_fields.end(), [&](std::string_view dropped) {
-        return iequals(name, string_view(dropped.data(), dropped.size()));
+        return is_same_name({name.data(), name.size()}, dropped);
     });
 }
 
@@ -54,19 +54,6 @@
     });
 }
 
-template <class Fields>
-void add_end_to_end(std::string& head, const Fields& fields)
-{
-    const bool has_options = fields.count(http::field::connection) > 0;
-    for (const auto& field : fields) {
-        const auto name = field.name_string();
-        if (is_dropped(name) || (has_options && is_connection_option(fields, name))) {
-            continue;
-        }
-        add_field(head, {name.data(), name.size()}, {field.value().data(), field.value().size()});
-    }
-}
-
 template <class Fields>
 bool has_sound_framing(const Fields& fields)
 {
@@ -86,6 +73,8 @@
     return out;
 }
 
+} // namespace
+
 /// "Desk.example:8080" gives "desk.example"; a bracketed IPv6 address keeps its colons.
 std::string host_name(string_view host)
 {
@@ -106,7 +95,20 @@
     return path == string_view::npos ? "/" : std::string(target.substr(path));
 }
 
-} // namespace
+std::string end_to_end_fields(const http::fields& fields, bool (*drop)(std::string_view name))
+{
+    std::string head;
+    const bool has_options = fields.count(http::field::connection) > 0;
+    for (const auto& field : fields) {
+        const auto name = field.name_string();
+        const std::string_view plain(name.data(), name.size());
+        if (is_dropped(name) || drop(plain) || (has_options && is_connection_option(fields, name))) {
+            continue;
+        }
+        add_field(head, plain, {field.value().data(), field.value().size()});
+    }
+    return head;
+}
 
 head_fault fault_of(boost::system::error_code error)
 {
@@ -119,7 +121,7 @@
     return {400, error.message()};
 }
 
-std::optional<head_fault> check_request(const request_message& request)
+std::optional<head_fault> check_request(const request_fields& request)
 {
     if (request.version() != 11 && request.version() != 10) {
         return head_fault{505, "only HTTP/1.1 and HTTP/1.0 are served"};
@@ -145,7 +147,7 @@
     return std::nullopt;
 }
 
-bool is_sound(const response_message& response)
+bool is_sound(const response_fields& response)
 {
     return has_sound_framing(response) && response.result_int() >= 200;
 }
@@ -166,6 +168,11 @@
     return out;
 }
 
+bool is_same_name(std::string_view left, std::string_view right)
+{
+    return iequals(string_view(left.data(), left.size()), string_view(right.data(), right.size()));
+}
+
 void add_field(std::string& head, std::string_view name, std::string_view value)
 {
     head.append(name).append(": ").append(value).append("\r\n");
@@ -178,7 +185,7 @@
     head.reserve(512);
     const auto method = request.method_string();
     head.append(method.data(), method.size()).append(" ").append(target).append(" HTTP/1.1\r\n");
-    add_end_to_end(head, request);
+    head += end_to_end_fields(request, [](std::string_view) { return false; });
     add_field(head, "Via", via);
     return head;
 }
@@ -189,7 +196,7 @@
     head.reserve(512);
     const auto reason = response.reason();
     head.append(reason.data(), reason.size()).append("\r\n");
-    add_end_to_end(head, response);
+    head += end_to_end_fields(response, [](std::string_view) { return false; });
     add_field(head, "Via", via);
     return head;
 }
--- a/src/libshell/http_head.h
+++ b/src/libshell/http_head.h
@@ -18,6 +18,8 @@
 using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 using request_message = request_parser::value_type;
 using response_message = response_parser::value_type;
+using request_fields = boost::beast::http::request_header<>;
+using response_fields = boost::beast::http::response_header<>;
 
 namespace header_name {
 inline constexpr const char* not_run = "Camphor-Not-Run";
@@ -44,9 +46,9 @@
 
 /// Rules beyond the parser's own that keep two readers of one connection in step: one Host, no
 /// transfer coding but chunked, no second length.
-std::optional<head_fault> check_request(const request_message& request);
+std::optional<head_fault> check_request(const request_fields& request);
 /// The same for answers; false when the answer cannot be passed on.
-bool is_sound(const response_message& response);
+bool is_sound(const response_fields& response);
 
 /// What the reducer sees. Absolute targets are reduced to their path.
 call_head to_call_head(const request_message& request);
@@ -57,6 +59,17 @@
 /// Status line and end-to-end fields, without the last empty line.
 std::string relayed_head(const response_message& response, const std::string& via);
 
+/// Target in origin form: an absolute target is reduced to its path and query.
+std::string origin_form(boost::beast::string_view target);
+/// Host without its port, in lower case.
+std::string host_name(boost::beast::string_view host);
+/// Fields that are passed on end to end, one `Name: value` line each; those for which `drop` is true
+/// are left out too.
+std::string end_to_end_fields(const boost::beast::http::fields& fields,
+                              bool (*drop)(std::string_view name));
+
+/// Field names are the same but for case.
+bool is_same_name(std::string_view left, std::string_view right);
 void add_field(std::string& head, std::string_view name, std::string_view value);
 /// `{"error":{"code","message"}}`
 std::string error_json(const std::string& code, const std::string& message);
--- a/src/libshell/wire_codec.cpp
+++ b/src/libshell/wire_codec.cpp
@@ -16,9 +16,7 @@
 
 constexpr std::uint32_t byte_bits = 8;
 
-} // namespace
-
-std::string encode_frame(const wire::frame& frame)
+template <class Frame> std::string encode(const Frame& frame)
 {
     const auto buffer = std::make_shared<TMemoryBuffer>();
     compact protocol(buffer);
@@ -35,19 +33,7 @@
     return out + body;
 }
 
-std::uint32_t decode_length(const std::uint8_t* header)
-{
-    std::uint32_t length = 0;
-    for (std::size_t i = 0; i < frame_header_bytes; ++i) {
-        length = (length << byte_bits) | header[i];
-    }
-    if (length > frame_limit_bytes) {
-        throw wire_error("frame of " + std::to_string(length) + " bytes is over the limit");
-    }
-    return length;
-}
-
-wire::frame decode_frame(const std::string& body)
+template <class Frame> Frame decode(const std::string& body)
 {
     try {
         const auto buffer = std::make_shared<TMemoryBuffer>();
@@ -56,7 +42,7 @@
         buffer->resetBuffer(bytes, static_cast<std::uint32_t>(body.size()), TMemoryBuffer::OBSERVE);
         compact protocol(buffer, static_cast<std::int32_t>(frame_limit_bytes),
                          static_cast<std::int32_t>(frame_limit_bytes));
-        wire::frame out;
+        Frame out;
         const auto used = out.read(&protocol);
         if (used != body.size()) {
             throw wire_error("bytes follow the frame");
@@ -67,4 +53,38 @@
     }
 }
 
+} // namespace
+
+std::string encode_frame(const wire::frame& frame)
+{
+    return encode(frame);
+}
+
+std::string encode_frame(const mesh_wire::mesh_frame& frame)
+{
+    return encode(frame);
+}
+
+std::uint32_t decode_length(const std::uint8_t* header)
+{
+    std::uint32_t length = 0;
+    for (std::size_t i = 0; i < frame_header_bytes; ++i) {
+        length = (length << byte_bits) | header[i];
+    }
+    if (length > frame_limit_bytes) {
+        throw wire_error("frame of " + std::to_string(length) + " bytes is over the limit");
+    }
+    return length;
+}
+
+wire::frame decode_frame(const std::string& body)
+{
+    return decode<wire::frame>(body);
+}
+
+mesh_wire::mesh_frame decode_mesh_frame(const std::string& body)
+{
+    return decode<mesh_wire::mesh_frame>(body);
+}
+
 } // namespace camphor::shell
--- a/src/libshell/wire_codec.h
+++ b/src/libshell/wire_codec.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <stdexcept>
 #include <string>
+#include <mesh_types.h>
 #include <wire_types.h>
 
 namespace camphor::shell {
@@ -25,11 +26,16 @@
 /// @throws wire_error when the body is over the limit
 std::string encode_frame(const wire::frame& frame);
 
+/// The same for frames between the nodes of a platform mesh.
+std::string encode_frame(const mesh_wire::mesh_frame& frame);
+
 /// The body's length from its header.
 /// @throws wire_error when it is over the limit
 std::uint32_t decode_length(const std::uint8_t* header);
 
 /// @throws wire_error when the bytes are not exactly one frame
 wire::frame decode_frame(const std::string& body);
+/// The same for frames between the nodes of a platform mesh.
+mesh_wire::mesh_frame decode_mesh_frame(const std::string& body);
 
 } // namespace camphor::shell
--- /dev/null
+++ b/src/libsidecar/sidecar.cpp
@@ -0,0 +1,334 @@
+// Ties decisions and I/O of a node on the users' platform together.
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+
+#include "libshell/http_head.h"
+#include "libshell/metrics.h"
+#include "libsidecar/sidecar.h"
+#include "platform/check_in.h"
+#include "platform/header_names.h"
+
+#include <charconv>
+#include <csignal>
+#include <random>
+
+namespace camphor::sidecar {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace header = platform::header;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+namespace {
+
+time_point monotonic_now()
+{
+    return time_point(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+std::int64_t boot_number()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+/// Fields of a request that the node sets itself at the backend server.
+bool is_set_by_node(std::string_view name)
+{
+    const auto same = [&](const char* other) { return shell::is_same_name(name, other); };
+    return same(header::time_left) || same(header::caller_service) ||
+           same(header::expected_backend);
+}
+
+std::optional<std::chrono::milliseconds> read_patience(const http::fields& fields)
+{
+    const auto text = fields[header::time_left];
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || text.empty() || value < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(value);
+}
+
+} // namespace
+
+sidecar::sidecar(mesh::mesh_settings settings)
+    : settings_(std::move(settings)), io_(1), log_({settings_.node, settings_.zone}, log_level::info),
+      node_(settings_, boot_number(), std::random_device{}()),
+      app_(io_, settings_.app, [this](mesh::event happened) { post(std::move(happened)); }),
+      peers_(io_, settings_.peers, [this](mesh::event happened) { post(std::move(happened)); }),
+      store_(
+          io_, settings_.store, node_.record(),
+          [this](mesh::event happened) { post(std::move(happened)); },
+          [this](const mesh::log_line& line) { write_log(line); }, std::random_device{}()),
+      outbound_(io_, settings_.outbound.host, settings_.outbound.port, outbound_handlers()),
+      inbound_(io_, settings_.inbound.host, settings_.inbound.port, outbound_handlers()),
+      ready_(io_, settings_.ready.host, settings_.ready.port, ready_handlers()),
+      control_(io_, settings_.control.host, settings_.control.port, control_handlers()),
+      metrics_(io_, settings_.metrics.host, settings_.metrics.port, metrics_handlers()),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_)
+{
+}
+
+sidecar::~sidecar() = default;
+
+void sidecar::run()
+{
+    write_log({log_level::info, "node.started", "",
+               "service=" + settings_.service.value() +
+                   " boot=" + std::to_string(node_.record().boot)});
+    watch_signals();
+    store_.start();
+    arm();
+    io_.run();
+    write_log({log_level::info, "node.stopped", "", ""});
+}
+
+http_handlers sidecar::outbound_handlers()
+{
+    http_handlers out;
+    out.on_request = [this](const auto& from, std::uint64_t number, http_request message) {
+        on_client_request(from, number, std::move(message));
+    };
+    out.on_gone = [this](std::uint64_t number) {
+        clients_.erase(number);
+        post(mesh::client_gone{call_id{number}});
+    };
+    out.is_closing = [this] { return node_.is_stopping(); };
+    return out;
+}
+
+http_handlers sidecar::control_handlers()
+{
+    http_handlers out;
+    out.on_request = [this](const auto& from, std::uint64_t number, const http_request& message) {
+        on_check_in(from, number, message);
+    };
+    out.on_gone = [](std::uint64_t) {};
+    out.is_closing = [] { return false; };
+    return out;
+}
+
+http_handlers sidecar::ready_handlers()
+{
+    http_handlers out;
+    out.on_request = [this](const auto& from, std::uint64_t number, const http_request& message) {
+        http_reply reply;
+        const bool asked = platform::is_readiness_question(
+            std::string(message.method_string()), std::string(message.target()));
+        reply.status = !asked ? 404 : node_.is_ready() ? 200 : 503;
+        from->respond(number, std::move(reply));
+    };
+    out.on_gone = [](std::uint64_t) {};
+    out.is_closing = [] { return false; };
+    return out;
+}
+
+http_handlers sidecar::metrics_handlers()
+{
+    http_handlers out;
+    out.on_request = [this](const auto& from, std::uint64_t number, const http_request&) {
+        http_reply reply;
+        reply.head = "Content-Type: text/plain; version=0.0.4\r\n";
+        reply.body = render_metrics();
+        from->respond(number, std::move(reply));
+    };
+    out.on_gone = [](std::uint64_t) {};
+    out.is_closing = [] { return false; };
+    return out;
+}
+
+void sidecar::post(mesh::event happened)
+{
+    events_.push_back(std::move(happened));
+    if (!draining_events_) {
+        drain_events();
+    }
+}
+
+void sidecar::drain_events()
+{
+    draining_events_ = true;
+    while (!events_.empty()) {
+        const auto next = std::move(events_.front());
+        events_.pop_front();
+        const auto effects = node_.step(next, monotonic_now());
+        for (const auto& item : effects) {
+            perform(item);
+        }
+    }
+    draining_events_ = false;
+    if (node_.config() && node_.config() != limits_from_) {
+        limits_from_ = node_.config();
+        const auto& limits = limits_from_->limits();
+        outbound_.set_limits({limits.header_bytes, limits.body_bytes, limits.idle_timeout});
+    }
+    arm();
+}
+
+void sidecar::perform(const mesh::effect& item)
+{
+    std::visit([this](const auto& order) { carry_out(order); }, item);
+}
+
+void sidecar::arm()
+{
+    const auto now = monotonic_now();
+    const auto due = node_.next_due(now);
+    if (armed_for_ > now && armed_for_ <= due) {
+        return;
+    }
+    armed_for_ = due;
+    timer_.expires_at(std::chrono::steady_clock::time_point(due.time_since_epoch()));
+    timer_.async_wait([this](error_code error) {
+        if (!error) {
+            armed_for_ = {};
+            post(mesh::time_passed{});
+        }
+    });
+}
+
+void sidecar::on_client_request(const std::shared_ptr<http_connection>& from, std::uint64_t number,
+                                http_request message)
+{
+    auto content = std::make_shared<mesh::request>();
+    content->method = std::string(message.method_string());
+    content->target = shell::origin_form(message.target());
+    content->host = shell::host_name(message[http::field::host]);
+    content->head = shell::end_to_end_fields(message, is_set_by_node);
+    content->id = std::string(message[header::request_id]);
+    const auto patience = read_patience(message);
+    content->body = std::move(message.body());
+    clients_.emplace(number, from);
+    post(mesh::client_request{call_id{number}, std::move(content), patience});
+}
+
+void sidecar::carry_out(const mesh::deliver_answer& order)
+{
+    const auto found = clients_.extract(order.call.value());
+    const auto to = found.empty() ? nullptr : found.mapped().lock();
+    if (to) {
+        http_reply reply;
+        reply.status = order.content->status;
+        reply.head = order.content->head;
+        reply.body = order.content->body;
+        to->respond(order.call.value(), std::move(reply));
+    }
+}
+
+void sidecar::carry_out(const mesh::deliver_refusal& order)
+{
+    const auto found = clients_.extract(order.call.value());
+    const auto to = found.empty() ? nullptr : found.mapped().lock();
+    if (to) {
+        http_reply reply;
+        reply.status = order.status;
+        reply.body = shell::error_json(order.reason, shell::reason_of(order.status));
+        shell::add_field(reply.head, "Content-Type", "application/json");
+        if (order.retry_after) {
+            const auto seconds = std::chrono::duration<double>(*order.retry_after).count();
+            shell::add_field(reply.head, header::retry_after, std::to_string(seconds));
+        }
+        to->respond(order.call.value(), std::move(reply));
+    }
+}
+
+void sidecar::on_check_in(const std::shared_ptr<http_connection>& from, std::uint64_t number,
+                          const http_request& message)
+{
+    http_reply reply;
+    try {
+        const auto own = settings_.app.host + ":" + std::to_string(settings_.app.port);
+        auto read = platform::read_check_in(std::string(message.method_string()),
+                                            std::string(message.target()), message.body(), own);
+        if (std::holds_alternative<platform::other_call>(read)) {
+            reply.status = 404;
+        } else if (auto* seen = std::get_if<mesh::backend_checked_in>(&read)) {
+            post(std::move(*seen));
+            reply.head = "Content-Type: application/json\r\n";
+            reply.body = "{}";
+        } else {
+            post(std::get<mesh::backend_left>(read));
+        }
+    } catch (const platform::bad_check_in& error) {
+        write_log({log_level::warning, "backend.bad_check_in", "",
+                   "target=" + std::string(message.target()) + " reason=" + error.what()});
+        reply.status = 400;
+    }
+    from->respond(number, std::move(reply));
+}
+
+void sidecar::watch_signals()
+{
+    signals_.async_wait([this](error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            write_log({log_level::info, "node.reloaded", "", "settings hold until a restart"});
+        } else {
+            post(mesh::stop_asked{});
+        }
+        watch_signals();
+    });
+}
+
+void sidecar::stop()
+{
+    store_.stop();
+    outbound_.close();
+    inbound_.close();
+    ready_.close();
+    control_.close();
+    metrics_.close();
+    outbound_.close_idle();
+    inbound_.close_idle();
+    // Answers under way still leave; then the process ends.
+    timer_.cancel();
+    timer_.expires_after(300ms);
+    timer_.async_wait([this](error_code) {
+        peers_.close_all();
+        io_.stop();
+    });
+}
+
+void sidecar::write_log(const mesh::log_line& line)
+{
+    log_record record;
+    record.level = line.level;
+    record.event = line.event;
+    record.detail = line.request_id.empty() ? line.detail
+                                            : "request=" + line.request_id + " " + line.detail;
+    log_.write(record, node_.config() ? node_.config()->version() : config_version{});
+}
+
+std::string sidecar::render_metrics() const
+{
+    const auto& counts = node_.counters();
+    std::string out;
+    const auto line = [&](const char* name, std::uint64_t value) {
+        out += shell::metric_line(name, static_cast<double>(value));
+    };
+    line("camphor_requests_total", counts.requests);
+    line("camphor_requests_delivered_total", counts.delivered);
+    line("camphor_requests_failed_total", counts.failed);
+    line("camphor_retries_total", counts.retries);
+    line("camphor_runs_total", counts.runs);
+    line("camphor_owner_refusals_total", counts.owner_refusals);
+    for (const auto& [reason, count] : counts.refusals_by_reason) {
+        out += shell::metric_line("camphor_refusals_total{reason=\"" + reason + "\"}",
+                                  static_cast<double>(count));
+    }
+    line("camphor_app_connections_total", app_.counters().connections);
+    line("camphor_app_stray_answers_total", app_.counters().stray_answers);
+    line("camphor_peer_bytes_sent_total", peers_.counters().bytes_sent);
+    line("camphor_store_calls_total", store_.counters().calls);
+    return out;
+}
+
+} // namespace camphor::sidecar
--- /dev/null
+++ b/src/libsidecar/sidecar.h
@@ -0,0 +1,87 @@
+// A node on the users' platform: the decisions of libmesh with their I/O.
+#pragma once
+
+#include "libmesh/mesh_settings.h"
+#include "libmesh/node.h"
+#include "libsidecar/app_client.h"
+#include "libsidecar/http_listener.h"
+#include "libsidecar/peer_links.h"
+#include "libsidecar/store_follower.h"
+#include "libshell/json_log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace camphor::sidecar {
+
+class sidecar {
+public:
+    /// @throws boost::system::system_error when it cannot listen
+    explicit sidecar(mesh::mesh_settings settings);
+    ~sidecar();
+    sidecar(const sidecar&) = delete;
+    sidecar& operator=(const sidecar&) = delete;
+
+    /// Serves until SIGTERM and the end of what is in flight.
+    void run();
+
+private:
+    http_handlers outbound_handlers();
+    http_handlers control_handlers();
+    http_handlers ready_handlers();
+    http_handlers metrics_handlers();
+    void post(mesh::event happened);
+    void drain_events();
+    void perform(const mesh::effect& item);
+    void arm();
+    void on_client_request(const std::shared_ptr<http_connection>& from, std::uint64_t number,
+                           http_request message);
+    void on_check_in(const std::shared_ptr<http_connection>& from, std::uint64_t number,
+                     const http_request& message);
+    void watch_signals();
+    void stop();
+    void write_log(const mesh::log_line& line);
+    std::string render_metrics() const;
+
+    void carry_out(const mesh::deliver_answer& order);
+    void carry_out(const mesh::deliver_refusal& order);
+    void carry_out(const mesh::send_to_app& order) { app_.send(order); }
+    void carry_out(const mesh::drop_run& order) { app_.drop(order.run); }
+    void carry_out(const mesh::dial_peer& order) { peers_.dial(order.peer); }
+    void carry_out(const mesh::send_to_peer& order) { peers_.send(order.link, order.frame); }
+    void carry_out(const mesh::close_link& order) { peers_.close(order.link); }
+    void carry_out(const mesh::follow_store& order) { store_.set_following(order.follow); }
+    void carry_out(const mesh::take_rows& order) { store_.take(order); }
+    void carry_out(const mesh::list_nodes&) { store_.list_nodes(); }
+    void carry_out(const mesh::write_rollout_status& order) { store_.write(order); }
+    void carry_out(const mesh::log_line& line) { write_log(line); }
+    void carry_out(const mesh::may_stop&) { stop(); }
+
+    mesh::mesh_settings settings_;
+    boost::asio::io_context io_;
+    shell::json_log log_;
+    mesh::node node_;
+    app_client app_;
+    peer_links peers_;
+    store_follower store_;
+    http_listener outbound_;
+    http_listener inbound_;
+    http_listener ready_;
+    http_listener control_;
+    http_listener metrics_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    /// Connections of the clients' requests that are not answered.
+    std::unordered_map<std::uint64_t, std::weak_ptr<http_connection>> clients_;
+    std::deque<mesh::event> events_;
+    bool draining_events_ = false;
+    time_point armed_for_{};
+    mesh::mesh_config_ptr limits_from_;
+};
+
+} // namespace camphor::sidecar
--- /dev/null
+++ b/src/libsidecar/store_follower.cpp
@@ -0,0 +1,273 @@
+// Reads the store for one node.
+#include "libsidecar/store_follower.h"
+
+#include "platform/operator_rows.h"
+
+#include <algorithm>
+
+namespace camphor::sidecar {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A read or a write takes the store some milliseconds; when slow, up to a second.
+constexpr std::chrono::milliseconds call_limit{2'000};
+/// A feed answers after this long when nothing changes.
+constexpr std::chrono::milliseconds feed_wait{20'000};
+/// Allowed on top of the wait.
+constexpr std::chrono::milliseconds feed_slack{3'000};
+/// Pause after a failed call: between half of it and all of it, doubled up to the longest.
+constexpr std::chrono::milliseconds first_pause{200};
+constexpr std::chrono::milliseconds longest_pause{1'600};
+constexpr int most_doublings = 3;
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+
+} // namespace
+
+store_follower::store_follower(boost::asio::io_context& io, const mesh::listen_address& store,
+                               mesh_wire::node_record self, event_function on_event,
+                               std::function<void(mesh::log_line)> on_log, std::uint64_t seed)
+    : calls_(io, store), feed_(io, store), announce_timer_(io), follow_timer_(io),
+      self_(std::move(self)), on_event_(std::move(on_event)), on_log_(std::move(on_log)),
+      random_(seed)
+{
+}
+
+void store_follower::start()
+{
+    announce();
+    read_all();
+}
+
+void store_follower::stop()
+{
+    stopped_ = true;
+    announce_timer_.cancel();
+    follow_timer_.cancel();
+}
+
+store_counters store_follower::counters() const
+{
+    auto out = calls_.counters();
+    out.calls += feed_.counters().calls;
+    out.failures += feed_.counters().failures;
+    out.bytes += feed_.counters().bytes;
+    return out;
+}
+
+void store_follower::log(log_level level, const std::string& name, const std::string& detail)
+{
+    on_log_({level, name, "", detail});
+}
+
+void store_follower::announce()
+{
+    const auto row =
+        platform::write_row(platform::node_table, self_.node, platform::write_node_row(self_));
+    calls_.call(row, call_limit, [this](const store_reply& reply) {
+        if (reply.status != status_ok) {
+            retry_later(reply, &store_follower::announce);
+            return;
+        }
+        list_nodes();
+        read_status();
+    });
+}
+
+void store_follower::list_nodes()
+{
+    calls_.call(platform::read_table(platform::node_table), call_limit,
+                [this](const store_reply& reply) {
+                    if (reply.status != status_ok) {
+                        retry_later(reply, &store_follower::list_nodes);
+                        return;
+                    }
+                    try {
+                        mesh::nodes_listed listed;
+                        for (const auto& row : platform::read_rows(reply.body).rows) {
+                            try {
+                                listed.nodes.push_back(platform::read_node_row(row.value));
+                            } catch (const platform::bad_row& error) {
+                                log(log_level::warning, "store.bad_row",
+                                    "key=" + row.key + " reason=" + error.what());
+                            }
+                        }
+                        on_event_(std::move(listed));
+                    } catch (const platform::bad_store_answer& error) {
+                        retry_later({0, "", error.what(), true}, &store_follower::list_nodes);
+                    }
+                });
+}
+
+void store_follower::read_status()
+{
+    calls_.call(platform::read_table(platform::status_table), call_limit,
+                [this](const store_reply& reply) {
+                    if (reply.status != status_ok) {
+                        retry_later(reply, &store_follower::read_status);
+                        return;
+                    }
+                    try {
+                        for (const auto& row : platform::read_rows(reply.body).rows) {
+                            if (const auto status =
+                                    platform::read_rollout_status(row.key, row.value)) {
+                                on_event_(*status);
+                            }
+                        }
+                    } catch (const std::runtime_error& error) {
+                        log(log_level::warning, "store.bad_row",
+                            std::string("table=status reason=") + error.what());
+                    }
+                });
+}
+
+void store_follower::retry_later(const store_reply& reply, void (store_follower::*again)())
+{
+    if (stopped_) {
+        return;
+    }
+    note_contact(false, reply);
+    const auto doubled = first_pause * (1 << std::min(failures_, most_doublings));
+    const auto longest = std::min(doubled, longest_pause);
+    std::uniform_int_distribution<std::int64_t> pause(longest.count() / 2, longest.count());
+    auto& timer = again == &store_follower::read_all || again == &store_follower::follow
+                      ? follow_timer_
+                      : announce_timer_;
+    ++failures_;
+    timer.expires_after(std::chrono::milliseconds(pause(random_)));
+    timer.async_wait([this, again](boost::system::error_code error) {
+        if (!error && !stopped_) {
+            (this->*again)();
+        }
+    });
+}
+
+void store_follower::note_contact(bool good, const store_reply& reply)
+{
+    if (good) {
+        failures_ = 0;
+    }
+    if (good == in_contact_) {
+        return;
+    }
+    in_contact_ = good;
+    if (good) {
+        log(log_level::info, "store.regained", "read_up_to=" + std::to_string(read_up_to_));
+    } else {
+        log(log_level::warning, "store.lost",
+            "status=" + std::to_string(reply.status) + " reason=" + reply.problem);
+        on_event_(mesh::rows_read{{}, read_up_to_, false});
+    }
+}
+
+void store_follower::set_following(bool follow)
+{
+    if (following_ == follow) {
+        return;
+    }
+    following_ = follow;
+    if (follow && !feed_pending_) {
+        read_all();
+    }
+}
+
+void store_follower::read_all()
+{
+    feed_pending_ = true;
+    feed_.call(platform::read_table(platform::operator_table), call_limit,
+               [this](const store_reply& reply) { on_rows(reply, true); });
+}
+
+void store_follower::follow()
+{
+    if (!following_) {
+        feed_pending_ = false;
+        return;
+    }
+    feed_pending_ = true;
+    feed_.call(platform::follow_table(platform::operator_table, read_up_to_, feed_wait),
+               feed_wait + feed_slack,
+               [this](const store_reply& reply) { on_rows(reply, false); });
+}
+
+void store_follower::on_rows(const store_reply& reply, bool whole_table)
+{
+    if (stopped_) {
+        return;
+    }
+    if (reply.status == status_gone && !whole_table) {
+        log(log_level::info, "store.history_gone", "read_up_to=" + std::to_string(read_up_to_));
+        read_all();
+        return;
+    }
+    if (reply.status != status_ok) {
+        retry_later(reply, whole_table ? &store_follower::read_all : &store_follower::follow);
+        return;
+    }
+    try {
+        const auto answer = platform::read_rows(reply.body);
+        mesh::rows_read happened;
+        for (const auto& row : answer.rows) {
+            mesh_wire::operator_row item;
+            item.__set_key(row.key);
+            item.__set_row_version(row.version);
+            item.__set_document(row.value);
+            item.__set_removed(row.removed);
+            decode(item);
+            happened.rows.push_back(std::move(item));
+        }
+        read_up_to_ = std::max(read_up_to_, answer.newest);
+        happened.read_up_to = read_up_to_;
+        happened.fresh = true;
+        note_contact(true, reply);
+        on_event_(std::move(happened));
+    } catch (const platform::bad_store_answer& error) {
+        retry_later({0, "", error.what(), true},
+                    whole_table ? &store_follower::read_all : &store_follower::follow);
+        return;
+    }
+    follow();
+}
+
+void store_follower::decode(const mesh_wire::operator_row& row)
+{
+    if (row.removed) {
+        return;
+    }
+    try {
+        auto document = platform::read_operator_row(row.key, row.document, row.row_version);
+        if (auto* config = std::get_if<mesh::config_read>(&document)) {
+            on_event_(std::move(*config));
+        } else if (auto* order = std::get_if<mesh::order_read>(&document)) {
+            on_event_(std::move(*order));
+        }
+    } catch (const platform::bad_row& error) {
+        log(log_level::error, "store.bad_row", "key=" + row.key + " reason=" + error.what());
+    }
+}
+
+void store_follower::take(const mesh::take_rows& order)
+{
+    for (const auto& row : order.rows) {
+        decode(row);
+    }
+    read_up_to_ = std::max(read_up_to_, order.read_up_to);
+}
+
+void store_follower::write(const mesh::write_rollout_status& order)
+{
+    const auto row = platform::write_row(platform::status_table,
+                                         platform::rollout_status_key(order.status.service),
+                                         platform::write_rollout_status(order.status));
+    calls_.call(row, call_limit, [this, order](const store_reply& reply) {
+        if (reply.status != status_ok && !stopped_) {
+            log(log_level::warning, "rollout.status_not_written",
+                "service=" + order.status.service.value() +
+                    " status=" + std::to_string(reply.status) + " reason=" + reply.problem);
+        }
+    });
+}
+
+} // namespace camphor::sidecar
--- /dev/null
+++ b/src/libsidecar/store_follower.h
@@ -0,0 +1,66 @@
+// Keeps a node up to date with the platform's store: makes the node known, lists the others, follows
+// the operators' rows.
+#pragma once
+
+#include "libmesh/messages.h"
+#include "libsidecar/store_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <random>
+#include <string>
+
+namespace camphor::sidecar {
+
+class store_follower {
+public:
+    using event_function = std::function<void(mesh::event)>;
+
+    /// `on_event` hears nodes_listed, config_read, order_read, rollout_status_read, rows_read and
+    /// log-worthy changes; `on_log` hears of lost and regained contact and of unusable rows.
+    store_follower(boost::asio::io_context& io, const mesh::listen_address& store,
+                   mesh_wire::node_record self, event_function on_event,
+                   std::function<void(mesh::log_line)> on_log, std::uint64_t seed);
+
+    void start();
+    void stop();
+    /// Whether the operators' rows are read from the store, or come from other nodes alone.
+    void set_following(bool follow);
+    void list_nodes();
+    /// Decodes rows that another node read.
+    void take(const mesh::take_rows& order);
+    void write(const mesh::write_rollout_status& order);
+
+    store_counters counters() const;
+
+private:
+    void announce();
+    void read_all();
+    void read_status();
+    void follow();
+    void on_rows(const store_reply& reply, bool whole_table);
+    void retry_later(const store_reply& reply, void (store_follower::*again)());
+    void decode(const mesh_wire::operator_row& row);
+    void note_contact(bool good, const store_reply& reply);
+    void log(log_level level, const std::string& name, const std::string& detail);
+
+    store_client calls_;
+    store_client feed_;
+    boost::asio::steady_timer announce_timer_;
+    boost::asio::steady_timer follow_timer_;
+    mesh_wire::node_record self_;
+    event_function on_event_;
+    std::function<void(mesh::log_line)> on_log_;
+    std::mt19937_64 random_;
+    /// Newest version of the store that the operators' rows were read at.
+    std::int64_t read_up_to_ = 0;
+    bool following_ = true;
+    bool feed_pending_ = false;
+    bool in_contact_ = false;
+    int failures_ = 0;
+    bool stopped_ = false;
+};
+
+} // namespace camphor::sidecar
