Count the slots right, order by objective, ask aged reports again

The load that a backend server reports counts the request it comes with, so one slot of six stayed empty. Reports of full owners were believed for up to a heartbeat. Change: earliest objective first within a rank; short requests wait until their deadline allows no more; the reported load is taken without the request itself; reports age; up to three queues are asked.

--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -38,6 +38,7 @@
     double failing = 0;
     duration mean_hold{};
     hold_times holds;
+    time_point reported_at{};
     /// Requests sent since the report.
     int sent_since = 0;
     /// Requests of this node that are not over.
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -81,10 +81,11 @@
         bool may_have_run = false;
         /// Backend servers that the call was sent to.
         int arrivals = 0;
-        bool waited = false;
         std::vector<attempt> attempts;
-        /// Owners not to ask again, with the wait that they named.
+        /// Owners without a free slot, with the wait that they named.
         std::map<node_id, duration> refused_by;
+        /// Owners that have no place in their queue either.
+        std::set<node_id> full;
         /// Release that the call was given by a roll-out.
         std::optional<release_id> release;
         std::string last_reason;
@@ -146,6 +147,9 @@
     // node_calls.cpp: requests of the clients on this machine.
     service_id choose_service(const route& way);
     void place(call_state& call);
+    /// No slot is free: asks for a place in the queue where the wait is shortest.
+    void wait_somewhere(call_state& call, const std::vector<candidate>& all,
+                        const std::vector<const backend*>& apps, const placement_request& wanted);
     std::vector<candidate> candidates(const call_state& call, std::vector<const backend*>& apps);
     std::optional<candidate> own_candidate(const call_state& call) const;
     bool fits(const backend& app, const call_state& call) const;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -12,6 +12,8 @@
 
 /// Owners that are asked for a free slot before the call waits at one.
 constexpr std::size_t most_refusals = 4;
+/// Owners that are asked for a place in their queue.
+constexpr std::size_t most_full = 3;
 /// Value of a request that a kilobyte between zones costs; operators of both meshes price it so.
 constexpr double crossing_kilobyte_cost = 0.03;
 /// Bytes of a request, its answer's head and their frames.
@@ -173,6 +175,7 @@
         item.running = other.space.running + other.space.sent_since;
         item.waiting = other.space.waiting;
         item.slots = other.app->slots;
+        item.age = now_ - other.space.reported_at;
         item.hold = other.space.holds.of(call.way->name, other.space.mean_hold);
         if (other.app->cold_until > now_) {
             item.hold *= 2;
@@ -216,35 +219,45 @@
     std::vector<candidate> open;
     std::vector<const backend*> open_apps;
     for (std::size_t i = 0; i < all.size(); ++i) {
-        const bool free = all[i].running + all[i].waiting < all[i].slots;
-        if (free && !call.refused_by.contains(all[i].node)) {
+        if (expected_load(all[i]) < all[i].slots && !call.refused_by.contains(all[i].node)) {
             open.push_back(all[i]);
             open_apps.push_back(apps[i]);
         }
     }
     const auto chosen = choose(open, wanted);
-    if (chosen && !call.waited && call.refused_by.size() < most_refusals) {
-        const auto picked = *chosen;
-        send(call, open[picked], *open_apps[picked], false);
+    if (chosen && call.full.empty() && call.refused_by.size() < most_refusals) {
+        send(call, open[*chosen], *open_apps[*chosen], false);
         return;
     }
-    if (call.waited) {
-        refuse(call, "overload");
-        return;
-    }
-    // No free slot anywhere: wait where the wait is shortest.
-    call.waited = true;
-    auto waiting = all;
-    for (auto& item : waiting) {
+    wait_somewhere(call, all, apps, wanted);
+}
+
+void node::wait_somewhere(call_state& call, const std::vector<candidate>& all,
+                          const std::vector<const backend*>& apps, const placement_request& wanted)
+{
+    std::vector<candidate> queues;
+    std::vector<const backend*> queue_apps;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        if (call.full.contains(all[i].node)) {
+            continue;
+        }
+        auto item = all[i];
         const auto refused = call.refused_by.find(item.node);
         if (refused != call.refused_by.end()) {
-            const auto behind = static_cast<int>(refused->second / std::max(item.hold / std::max(item.slots, 1), duration(1)));
-            item.waiting = std::max(item.waiting, behind);
+            const auto per_slot = std::max(item.hold / std::max(item.slots, 1), duration(1));
+            item.age = {};
             item.running = std::max(item.running, item.slots);
+            item.waiting = std::max(item.waiting, static_cast<int>(refused->second / per_slot));
         }
+        queues.push_back(item);
+        queue_apps.push_back(apps[i]);
     }
-    const auto best = *choose(waiting, wanted);
-    send(call, waiting[best], *apps[best], true);
+    const auto best = choose(queues, wanted);
+    if (!best || call.full.size() >= most_full) {
+        refuse(call, "overload");
+        return;
+    }
+    send(call, queues[*best], *queue_apps[*best], true);
 }
 
 void node::send(call_state& call, const candidate& to, const backend& app, bool may_wait)
@@ -346,16 +359,8 @@
     }
     call.refused_by[tried.owner] = result.wait;
     call.last_reason = result.reason;
-    if (tried.may_wait && result.reason == "overload") {
-        refuse(call, "overload");
-        return;
-    }
-    if (tried.may_wait) {
-        call.waited = false;
-    }
-    if (call.refused_by.size() > most_refusals + 1) {
-        refuse(call, result.reason);
-        return;
+    if (tried.may_wait || result.reason != "overload") {
+        call.full.insert(tried.owner);
     }
     place(call);
 }
@@ -383,7 +388,8 @@
     if (!call.attempts.empty()) {
         return;
     }
-    call.waited = false;
+    call.refused_by.clear();
+    call.full.clear();
     if (may_retry(call, queue_.mean_hold())) {
         place(call);
         return;
@@ -397,7 +403,8 @@
     if (!call.attempts.empty()) {
         return;
     }
-    call.waited = false;
+    call.refused_by.clear();
+    call.full.clear();
     if (call.way->safe && may_retry(call, queue_.mean_hold())) {
         place(call);
         return;
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -167,8 +167,9 @@
                    !failed);
     }
     if (happened.load) {
-        const int total = happened.load->running + happened.load->waiting;
-        queue_.set_foreign(std::max(0, total - queue_.running()));
+        // The report counts the request that it comes with, which has just ended here.
+        const int others = happened.load->running + happened.load->waiting - 1;
+        queue_.set_foreign(std::max(0, others - queue_.running()));
     }
 }
 
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -233,6 +233,7 @@
 {
     from.space.running = load.running;
     from.space.waiting = load.waiting;
+    from.space.reported_at = now_;
     from.space.sent_since = 0;
     from.space.failing = load.failing_permille / permille_of_one;
     const milliseconds hold(load.hold_ms);
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -21,10 +21,20 @@
 
 } // namespace
 
+int expected_load(const candidate& item)
+{
+    const int load = item.running + item.waiting;
+    if (item.hold.count() <= 0) {
+        return load;
+    }
+    const auto ended = item.age * std::max(item.slots, 1) / item.hold;
+    return static_cast<int>(std::max<duration::rep>(0, load - ended));
+}
+
 double placement_cost(const candidate& item, const placement_request& wanted)
 {
     const int slots = std::max(item.slots, 1);
-    const int load = item.running + item.waiting;
+    const int load = expected_load(item);
     const int over = load + 1 - slots;
     const auto wait = over > 0 ? item.hold * over / slots : duration{};
     const double left = std::max(1.0, static_cast<double>(wanted.objective_left.count()));
--- a/src/libmesh/placement.h
+++ b/src/libmesh/placement.h
@@ -18,6 +18,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// Age of the report.
+    duration age{};
     /// Time for which a request of the route holds a slot there.
     duration hold{};
     /// Part of its recent answers that were failures, 0 to 1.
@@ -33,6 +35,9 @@
     double jitter = 0;
 };
 
+/// Requests that are expected there now: some of those reported have ended since.
+int expected_load(const candidate& item);
+
 /// Expected loss of sending the request to `item`, as part of its value.
 double placement_cost(const candidate& item, const placement_request& wanted);
 
--- a/src/libmesh/slot_queue.cpp
+++ b/src/libmesh/slot_queue.cpp
@@ -5,14 +5,30 @@
 
 namespace camphor::mesh {
 
+namespace {
+
+/// A request that holds a slot for the mean time divided by this is short.
+constexpr int short_ratio = 2;
+
+} // namespace
+
 int slot_queue::free_slots() const
 {
     return slots_ - running() - foreign_;
 }
 
-duration slot_queue::wait_behind(int ahead) const
+duration slot_queue::wait_behind(std::map<waiting_key, slot_request>::const_iterator last) const
+{
+    auto work = mean_hold();
+    for (auto entry = waiting_.begin(); entry != last; ++entry) {
+        work += hold(entry->second.route, mean_hold());
+    }
+    return work / std::max(slots_, 1);
+}
+
+duration slot_queue::wait_of_last() const
 {
-    return mean_hold() * (ahead + 1) / std::max(slots_, 1);
+    return free_slots() > 0 && waiting_.empty() ? duration{} : wait_behind(waiting_.end());
 }
 
 slot_queue::decision slot_queue::offer(const slot_request& item, time_point now)
@@ -23,16 +39,15 @@
     }
     const auto wanted = decide_wait(item, now);
     if (wanted.what == verdict::wait) {
-        waiting_.emplace(waiting_key{item.rank, ++arrivals_}, item);
+        waiting_.emplace(waiting_key{item.rank, item.objective, ++arrivals_}, item);
     }
     return wanted;
 }
 
 slot_queue::decision slot_queue::decide_wait(const slot_request& item, time_point now) const
 {
-    const auto behind = waiting_.upper_bound(waiting_key{item.rank, arrivals_ + 1});
-    const auto ahead = static_cast<int>(std::distance(waiting_.begin(), behind));
-    const auto wait = wait_behind(ahead);
+    const auto wait =
+        wait_behind(waiting_.upper_bound(waiting_key{item.rank, item.objective, arrivals_ + 1}));
     if (slots_ == 0 || !item.may_wait) {
         return {verdict::refuse, wait};
     }
@@ -40,6 +55,10 @@
     if (done > item.deadline) {
         return {verdict::refuse, wait};
     }
+    // A short request, such as a call that a running one waits for, costs the others little.
+    if (hold(item.route, mean_hold()) * short_ratio <= mean_hold()) {
+        return {verdict::wait, wait};
+    }
     // Serving one that is late already takes a slot from one that could be in time.
     const bool late_already = now + hold(item.route, mean_hold()) > item.objective;
     if (late_already ? wait > mean_hold() : done > item.objective) {
--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -57,14 +57,17 @@
     /// Time that a request of the route holds a slot.
     duration hold(const route_id& name, duration prior) const { return holds_.of(name, prior); }
     duration mean_hold() const { return holds_.mean(first_hold); }
-    /// Time until a request behind `ahead` others gets a slot while none is free.
-    duration wait_behind(int ahead) const;
+    /// Time until a request that waits behind all others gets a slot.
+    duration wait_of_last() const;
     /// Forgets what was learned: another backend server has the address.
     void forget() { holds_.clear(); }
 
 private:
+    /// Within a rank the earliest objective goes first: short calls that a running request makes go
+    /// before long requests of clients, and their caller's slot is free again sooner.
     struct waiting_key {
         int rank = 0;
+        time_point objective;
         std::uint64_t arrival = 0;
         friend auto operator<=>(const waiting_key&, const waiting_key&) = default;
     };
@@ -77,6 +80,8 @@
     static constexpr duration first_hold = std::chrono::milliseconds(100);
 
     int free_slots() const;
+    /// Time until a request gets a slot that those up to `last` go before, while none is free.
+    duration wait_behind(std::map<waiting_key, slot_request>::const_iterator last) const;
     decision decide_wait(const slot_request& item, time_point now) const;
 
     int slots_ = 0;
