Put late requests behind those in time, and count what a client waited before

Change: a route's longest patience tells how long a client waited before; late requests wait behind all others and only while nobody else waits; an owner in another zone is left alone for half of the wait that it named, but for short requests.

--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -43,6 +43,10 @@
     int sent_since = 0;
     /// Requests of this node that are not over.
     int in_flight = 0;
+    /// It named a wait for a free slot that lasts until then.
+    time_point full_until{};
+    /// It had no place in its queue either; room there is not expected before.
+    time_point queue_full_until{};
 };
 
 struct peer {
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -146,6 +146,8 @@
 
     // node_calls.cpp: requests of the clients on this machine.
     service_id choose_service(const route& way);
+    /// Time that the client has waited already, before this attempt.
+    duration waited_before(const route& way, milliseconds patience);
     void place(call_state& call);
     /// No slot is free: asks for a place in the queue where the wait is shortest.
     void wait_somewhere(call_state& call, const std::vector<candidate>& all,
@@ -215,6 +217,9 @@
     std::map<service_id, retry_window> budgets_;
     /// Smooth weighted round robin: what each service of a route is owed.
     std::map<route_id, std::map<service_id, double>> credits_;
+    /// Longest patience seen of a route's clients. One that has less left is back after a refusal:
+    /// its objective runs since its first attempt.
+    std::map<route_id, milliseconds> full_patience_;
     /// Bytes that an answer of a route has on the average.
     std::map<route_id, double> answer_bytes_;
 
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -12,6 +12,10 @@
 
 /// Owners that are asked for a free slot before the call waits at one.
 constexpr std::size_t most_refusals = 4;
+/// An owner that refused is left alone for its named wait divided by this: the wait is a mean.
+constexpr int named_wait_divisor = 2;
+/// A request that holds a slot for the mean time divided by this is short.
+constexpr int short_ratio = 2;
 /// Owners that are asked for a place in their queue.
 constexpr std::size_t most_full = 3;
 /// Value of a request that a kilobyte between zones costs; operators of both meshes price it so.
@@ -84,7 +88,7 @@
     const auto patience = happened.patience.value_or(way->timeout);
     call.client_deadline = now_ + patience;
     call.deadline = now_ + std::min<duration>(patience, way->timeout);
-    call.objective = now_ + way->objective;
+    call.objective = now_ + way->objective - waited_before(*way, patience);
     call.service = choose_service(*way);
     auto& budget = budgets_.try_emplace(call.service, settings_.bounds.budget_window).first->second;
     budget.on_request(now_);
@@ -105,6 +109,13 @@
     end_call(happened.call);
 }
 
+duration node::waited_before(const route& way, milliseconds patience)
+{
+    auto& full = full_patience_.try_emplace(way.name, patience).first->second;
+    full = std::max(full, patience);
+    return full - patience;
+}
+
 service_id node::choose_service(const route& way)
 {
     if (way.targets.size() == 1) {
@@ -176,6 +187,12 @@
         item.waiting = other.space.waiting;
         item.slots = other.app->slots;
         item.age = now_ - other.space.reported_at;
+        // Within a zone an exchange costs nothing that counts; a short request, such as a call that
+        // a running one waits for, is worth it anyway.
+        const bool sparing =
+            !item.same_zone && item.hold * short_ratio > other.space.mean_hold;
+        item.no_free_slot = sparing && now_ < other.space.full_until;
+        item.no_queue_place = sparing && now_ < other.space.queue_full_until;
         item.hold = other.space.holds.of(call.way->name, other.space.mean_hold);
         if (other.app->cold_until > now_) {
             item.hold *= 2;
@@ -219,7 +236,8 @@
     std::vector<candidate> open;
     std::vector<const backend*> open_apps;
     for (std::size_t i = 0; i < all.size(); ++i) {
-        if (expected_load(all[i]) < all[i].slots && !call.refused_by.contains(all[i].node)) {
+        const bool free = expected_load(all[i]) < all[i].slots && !all[i].no_free_slot;
+        if (free && !call.refused_by.contains(all[i].node)) {
             open.push_back(all[i]);
             open_apps.push_back(apps[i]);
         }
@@ -238,7 +256,7 @@
     std::vector<candidate> queues;
     std::vector<const backend*> queue_apps;
     for (std::size_t i = 0; i < all.size(); ++i) {
-        if (call.full.contains(all[i].node)) {
+        if (call.full.contains(all[i].node) || all[i].no_queue_place) {
             continue;
         }
         auto item = all[i];
@@ -362,6 +380,10 @@
     if (tried.may_wait || result.reason != "overload") {
         call.full.insert(tried.owner);
     }
+    if (auto* owner = peers_.find(tried.owner); owner != nullptr && result.reason == "overload") {
+        auto& until = tried.may_wait ? owner->space.queue_full_until : owner->space.full_until;
+        until = now_ + result.wait / named_wait_divisor;
+    }
     place(call);
 }
 
--- a/src/libmesh/placement.h
+++ b/src/libmesh/placement.h
@@ -20,6 +20,9 @@
     int slots = 0;
     /// Age of the report.
     duration age{};
+    /// It refused this node so lately that asking again would only cost the exchange.
+    bool no_free_slot = false;
+    bool no_queue_place = false;
     /// Time for which a request of the route holds a slot there.
     duration hold{};
     /// Part of its recent answers that were failures, 0 to 1.
--- a/src/libmesh/slot_queue.cpp
+++ b/src/libmesh/slot_queue.cpp
@@ -31,23 +31,30 @@
     return free_slots() > 0 && waiting_.empty() ? duration{} : wait_behind(waiting_.end());
 }
 
+slot_queue::waiting_key slot_queue::key_of(const slot_request& item, time_point now) const
+{
+    const bool late = now + hold(item.route, mean_hold()) > item.objective;
+    return {item.rank, late, item.objective, arrivals_};
+}
+
 slot_queue::decision slot_queue::offer(const slot_request& item, time_point now)
 {
+    ++arrivals_;
     if (slots_ > 0 && free_slots() > 0 && waiting_.empty()) {
         running_.emplace(item.run, started{item.route, now});
         return {verdict::run, {}};
     }
     const auto wanted = decide_wait(item, now);
     if (wanted.what == verdict::wait) {
-        waiting_.emplace(waiting_key{item.rank, item.objective, ++arrivals_}, item);
+        waiting_.emplace(key_of(item, now), item);
     }
     return wanted;
 }
 
 slot_queue::decision slot_queue::decide_wait(const slot_request& item, time_point now) const
 {
-    const auto wait =
-        wait_behind(waiting_.upper_bound(waiting_key{item.rank, item.objective, arrivals_ + 1}));
+    const auto key = key_of(item, now);
+    const auto wait = wait_behind(waiting_.upper_bound(key));
     if (slots_ == 0 || !item.may_wait) {
         return {verdict::refuse, wait};
     }
@@ -59,9 +66,8 @@
     if (hold(item.route, mean_hold()) * short_ratio <= mean_hold()) {
         return {verdict::wait, wait};
     }
-    // Serving one that is late already takes a slot from one that could be in time.
-    const bool late_already = now + hold(item.route, mean_hold()) > item.objective;
-    if (late_already ? wait > mean_hold() : done > item.objective) {
+    // While others wait, serving one that is late already makes one late that could be in time.
+    if (key.late ? !waiting_.empty() : done > item.objective) {
         return {verdict::refuse, wait};
     }
     return {verdict::wait, wait};
--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -65,8 +65,10 @@
 private:
     /// Within a rank the earliest objective goes first: short calls that a running request makes go
     /// before long requests of clients, and their caller's slot is free again sooner.
+    /// Those that are late already come behind those that can still be in time.
     struct waiting_key {
         int rank = 0;
+        bool late = false;
         time_point objective;
         std::uint64_t arrival = 0;
         friend auto operator<=>(const waiting_key&, const waiting_key&) = default;
@@ -82,6 +84,7 @@
     int free_slots() const;
     /// Time until a request gets a slot that those up to `last` go before, while none is free.
     duration wait_behind(std::map<waiting_key, slot_request>::const_iterator last) const;
+    waiting_key key_of(const slot_request& item, time_point now) const;
     decision decide_wait(const slot_request& item, time_point now) const;
 
     int slots_ = 0;
