Carry out roll-outs by the move policy

Cause: a new release got no traffic and no order of a roll-out was answered: each order is a duty missed. Change: the first node by name in contact with the store decides by move_policy on the owners' evidence; a gross fault (failures or latency far off the old release) ends a roll-out at once; shares go to all nodes, the outcome into the store while the status row has the expected version; a node without word of the decider sends nothing to an unproven release.

--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -134,12 +134,28 @@
 enum class rollout_phase : std::uint8_t { running, completed, rolled_back };
 
 /// How a roll-out stands in the store.
-struct rollout_status_read {
+struct rollout_status {
     service_id service;
     release_id target;
+    /// Version of the order's row that it answers; 0 when the row does not tell.
+    std::int64_t order = 0;
     rollout_phase phase{};
 };
 
+struct rollout_status_read {
+    rollout_status status;
+    /// Version of the status row.
+    std::int64_t row_version = 0;
+};
+
+/// What became of a write of a roll-out's status.
+struct rollout_status_written {
+    rollout_status status;
+    enum class outcome : std::uint8_t { written, conflict, failed } result{};
+    /// Version of the row after a write.
+    std::int64_t row_version = 0;
+};
+
 /// Nodes that the store lists.
 struct nodes_listed {
     std::vector<mesh_wire::node_record> nodes;
@@ -159,7 +175,8 @@
 
 using event = std::variant<client_request, client_gone, app_answered, app_failed, backend_checked_in,
                            backend_left, link_opened, link_closed, frame_arrived, config_read,
-                           order_read, rollout_status_read, nodes_listed, rows_read, time_passed,
+                           order_read, rollout_status_read,
+                           rollout_status_written, nodes_listed, rows_read, time_passed,
                            stop_asked>;
 
 // Effects.
@@ -222,9 +239,10 @@
 /// Reads the list of nodes from the store.
 struct list_nodes {};
 
-/// Writes how a roll-out stands.
+/// Writes how a roll-out stands, while the row has the expected version (0: does not exist).
 struct write_rollout_status {
-    rollout_status_read status;
+    rollout_status status;
+    std::int64_t expected_version = 0;
 };
 
 struct log_line {
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -12,7 +12,7 @@
 /// Waiting requests are looked at this often.
 constexpr auto queue_check = 25ms;
 /// Longest time between two looks at peers, dials and reports.
-constexpr auto idle_check = 250ms;
+constexpr auto idle_check = 200ms;
 /// A stopping node stays this long at least: clients learn by two missed readiness questions, a
 /// second apart, that it takes nothing new.
 constexpr auto stop_notice = 2500ms;
@@ -81,19 +81,27 @@
 
 void node::take(const order_read& happened)
 {
-    auto& known = orders_[happened.order.service];
-    if (happened.order.row_version <= known.row_version) {
-        return;
+    const auto& order = happened.order;
+    if (rollouts_.on_order(order, now_)) {
+        log(log_level::info, "rollout.ordered", "",
+            "service=" + order.service.value() + " release=" + order.target.value() +
+                " duration_ms=" + std::to_string(order.duration.count()));
     }
-    known = happened.order;
-    log(log_level::info, "rollout.ordered", "",
-        "service=" + known.service.value() + " release=" + known.target.value() +
-            " duration_ms=" + std::to_string(known.duration.count()));
 }
 
 void node::take(const rollout_status_read& happened)
 {
-    rollouts_[happened.service] = happened;
+    rollouts_.on_status(happened);
+}
+
+void node::take(const rollout_status_written& happened)
+{
+    rollouts_.on_written(happened, now_);
+    for (auto& share : rollouts_.shares()) {
+        mesh_wire::mesh_frame frame;
+        frame.__set_share(std::move(share));
+        send_to_all(frame);
+    }
 }
 
 void node::take(const stop_asked&)
@@ -118,9 +126,11 @@
     }
     dial_missing();
     pull_if_behind();
+    judge_rollouts();
     if (now_ >= next_report_) {
         next_report_ = now_ + settings_.bounds.heartbeat_interval;
         broadcast_state();
+        tell_shares();
     }
 }
 
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -7,6 +7,7 @@
 #include "libmesh/messages.h"
 #include "libmesh/placement.h"
 #include "libmesh/retry_window.h"
+#include "libmesh/rollouts.h"
 #include "libmesh/slot_queue.h"
 
 #include <map>
@@ -108,6 +109,7 @@
         time_point deadline;
         bool safe = false;
         bool sent = false;
+        time_point sent_at;
     };
 
     struct run_result {
@@ -137,6 +139,7 @@
     void take(const config_read& happened);
     void take(const order_read& happened);
     void take(const rollout_status_read& happened);
+    void take(const rollout_status_written& happened);
     void take(const nodes_listed& happened);
     void take(const rows_read& happened);
     void take(const time_passed& happened);
@@ -178,6 +181,7 @@
     void cancel_run(const run_origin& origin);
     void start_waiting();
     void note_outcome(bool failed);
+    void note_release(const run_state& run, bool good);
     void retire_backend(backend_state state, const std::string& reason);
     mesh_wire::owner_load load(const route_id& way) const;
     mesh_wire::run_answer answer_frame(const run_origin& origin, const run_result& result,
@@ -195,7 +199,12 @@
     void update_room(peer& from, const mesh_wire::owner_load& load, const route_id* way);
     void lose_peer(peer& lost);
     void pull_if_behind();
-    void choose_watchers();
+    /// The node that decides on roll-outs: the first by name of those in contact with the store.
+    std::optional<node_id> rollout_holder() const;
+    void judge_rollouts();
+    /// The holder repeats how roll-outs stand, so that the others know that it lives.
+    void tell_shares();
+    void send_to_all(const mesh_wire::mesh_frame& frame);
 
     mesh_settings settings_;
     mesh_wire::node_record record_;
@@ -204,8 +213,8 @@
     effect_list out_;
 
     mesh_config_ptr config_;
-    std::map<service_id, rollout_order> orders_;
-    std::map<service_id, rollout_status_read> rollouts_;
+    rollouts rollouts_;
+    time_point next_judgement_{};
     /// Operators' rows by key, as last read, for nodes that ask.
     std::map<std::string, mesh_wire::operator_row> rows_;
     std::int64_t read_up_to_ = 0;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -90,6 +90,7 @@
     call.deadline = now_ + std::min<duration>(patience, way->timeout);
     call.objective = now_ + way->objective - waited_before(*way, patience);
     call.service = choose_service(*way);
+    call.release = rollouts_.choose(call.service, random_part(), now_);
     auto& budget = budgets_.try_emplace(call.service, settings_.bounds.budget_window).first->second;
     budget.on_request(now_);
     call.timer = timers_.emplace(call.deadline, call.call);
@@ -144,21 +145,7 @@
     if (app.service != call.service || !app.takes_work()) {
         return false;
     }
-    const auto rollout = rollouts_.find(app.service);
-    if (rollout == rollouts_.end()) {
-        const auto order = orders_.find(app.service);
-        return order == orders_.end() || order->second.target != app.release;
-    }
-    const bool is_target = rollout->second.target == app.release;
-    switch (rollout->second.phase) {
-    case rollout_phase::completed:
-        return is_target;
-    case rollout_phase::rolled_back:
-        return !is_target;
-    case rollout_phase::running:
-        return is_target == (call.release == app.release);
-    }
-    return true;
+    return rollouts_.allows(app.service, app.release, call.release);
 }
 
 std::vector<candidate> node::candidates(const call_state& call, std::vector<const backend*>& apps)
@@ -223,7 +210,13 @@
 void node::place(call_state& call)
 {
     std::vector<const backend*> apps;
-    const auto all = candidates(call, apps);
+    auto all = candidates(call, apps);
+    if (all.empty()) {
+        // Only one release of a service in a roll-out may have backend servers left.
+        const auto target = rollouts_.running_target(call.service);
+        call.release = call.release ? std::nullopt : target;
+        all = candidates(call, apps);
+    }
     if (all.empty()) {
         give_up(call, "no_backend");
         return;
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -72,6 +72,7 @@
         return;
     }
     run.sent = true;
+    run.sent_at = now_;
     ++counters_.runs;
     send_to_app order;
     order.run = id;
@@ -154,6 +155,7 @@
     const auto status = happened.content->status;
     const bool failed = status >= 500 || happened.not_executed;
     note_outcome(failed);
+    note_release(found->second, !failed);
     if (happened.other_instance) {
         retire_backend(backend_state::unreachable, "another instance has its address");
     }
@@ -188,10 +190,19 @@
                    false);
         return;
     }
+    note_release(found->second, false);
     const auto* reason = happened.kind == app_failure::garbled ? "garbled" : "broken";
     finish_run(happened.run, {mesh_wire::run_outcome::failed, nullptr, reason, {}}, false);
 }
 
+void node::note_release(const run_state& run, bool good)
+{
+    // A cold backend server is slow whatever its release.
+    if (own_ && own_->id == run.backend && now_ > own_->cold_until) {
+        rollouts_.note_run(own_->service, own_->release, run.way, good, now_ - run.sent_at);
+    }
+}
+
 void node::refuse_waiting(const std::string& reason)
 {
     for (const auto run : queue_.clear_waiting()) {
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -64,6 +64,11 @@
     other->failed_dials = 0;
     other->lost_at.reset();
     send_frame(happened.link, state_frame());
+    for (auto& share : rollouts_.shares()) {
+        mesh_wire::mesh_frame frame;
+        frame.__set_share(std::move(share));
+        send_frame(happened.link, std::move(frame));
+    }
 }
 
 void node::take(const link_closed& happened)
@@ -187,6 +192,85 @@
     if (frame.__isset.pull) {
         on_pull(happened.link, frame.pull);
     }
+    if (frame.__isset.share) {
+        rollouts_.on_share(frame.share, now_);
+    }
+    if (frame.__isset.report) {
+        const auto* from = known->second.peer ? peers_.find(*known->second.peer) : nullptr;
+        rollouts_.on_evidence(frame.report, zone_id{from == nullptr ? "" : from->record.zone});
+    }
+}
+
+void node::send_to_all(const mesh_wire::mesh_frame& frame)
+{
+    for (const auto& [name, other] : peers_.all()) {
+        if (other.link) {
+            send_frame(*other.link, frame);
+        }
+    }
+}
+
+std::optional<node_id> node::rollout_holder() const
+{
+    std::optional<node_id> first;
+    if (store_fresh_ && !stopping_) {
+        first = settings_.node;
+    }
+    for (const auto& [name, other] : peers_.all()) {
+        if (other.link && other.store_fresh && !other.stopping && (!first || name < *first)) {
+            first = name;
+        }
+    }
+    return first;
+}
+
+void node::judge_rollouts()
+{
+    if (now_ < next_judgement_) {
+        return;
+    }
+    next_judgement_ = now_ + move_policy::window;
+    const auto holder = rollout_holder();
+    if (!holder) {
+        return;
+    }
+    if (auto seen = rollouts_.take_evidence()) {
+        auto* to = peers_.find(*holder);
+        if (*holder == settings_.node) {
+            rollouts_.on_evidence(*seen, settings_.zone);
+        } else if (to != nullptr && to->link) {
+            mesh_wire::mesh_frame frame;
+            frame.__set_report(std::move(*seen));
+            send_frame(*to->link, std::move(frame));
+        }
+    }
+    if (*holder != settings_.node) {
+        return;
+    }
+    const auto longest_request = [this](const service_id& service) {
+        duration longest{};
+        if (config_) {
+            for (const auto& way : config_->routes()) {
+                const bool uses =
+                    std::any_of(way.targets.begin(), way.targets.end(),
+                                [&](const auto& target) { return target.service == service; });
+                longest = uses ? std::max<duration>(longest, way.timeout) : longest;
+            }
+        }
+        return longest;
+    };
+    auto decided = rollouts_.decide(now_, {settings_.bounds.exposure_share, longest_request});
+    for (auto& line : decided.lines) {
+        out_.emplace_back(std::move(line));
+    }
+    for (auto& share : decided.shares) {
+        mesh_wire::mesh_frame frame;
+        frame.__set_share(std::move(share));
+        send_to_all(frame);
+    }
+    for (auto& write : decided.writes) {
+        out_.emplace_back(std::move(write));
+    }
 }
 
 void node::on_state(link_id link, const mesh_wire::node_state& state)
@@ -274,6 +358,18 @@
     on_result(id, result);
 }
 
+void node::tell_shares()
+{
+    if (rollout_holder() != settings_.node || !rollouts_.any_running()) {
+        return;
+    }
+    for (auto& share : rollouts_.shares()) {
+        mesh_wire::mesh_frame frame;
+        frame.__set_share(std::move(share));
+        send_to_all(frame);
+    }
+}
+
 void node::take(const rows_read& happened)
 {
     store_fresh_ = happened.fresh;
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -23,6 +23,7 @@
 constexpr int most_doublings = 3;
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
+constexpr int status_conflict = 412;
 
 } // namespace
 
@@ -113,7 +114,7 @@
                         for (const auto& row : platform::read_rows(reply.body).rows) {
                             if (const auto status =
                                     platform::read_rollout_status(row.key, row.value)) {
-                                on_event_(*status);
+                                on_event_(mesh::rollout_status_read{*status, row.version});
                             }
                         }
                     } catch (const std::runtime_error& error) {
@@ -258,15 +259,30 @@
 
 void store_follower::write(const mesh::write_rollout_status& order)
 {
-    const auto row = platform::write_row(platform::status_table,
-                                         platform::rollout_status_key(order.status.service),
-                                         platform::write_rollout_status(order.status));
+    const auto row = platform::write_row(
+        platform::status_table, platform::rollout_status_key(order.status.service),
+        platform::write_rollout_status(order.status), order.expected_version);
     calls_.call(row, call_limit, [this, order](const store_reply& reply) {
-        if (reply.status != status_ok && !stopped_) {
+        using outcome = mesh::rollout_status_written::outcome;
+        mesh::rollout_status_written happened;
+        happened.status = order.status;
+        if (reply.status == status_ok) {
+            happened.result = outcome::written;
+            happened.row_version = platform::read_written_version(reply.body);
+        } else if (reply.status == status_conflict) {
+            happened.result = outcome::conflict;
+            read_status();
+        } else {
+            happened.result = outcome::failed;
             log(log_level::warning, "rollout.status_not_written",
                 "service=" + order.status.service.value() +
                     " status=" + std::to_string(reply.status) + " reason=" + reply.problem);
+            // The write may have been carried out: the row tells.
+            if (reply.was_sent) {
+                read_status();
+            }
         }
+        on_event_(std::move(happened));
     });
 }
 
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -2075,6 +2075,10 @@
 }
 
 
+void release_counts::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
 void release_counts::__set_route(const std::string& val) {
   this->route = val;
 }
@@ -2123,6 +2127,14 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->route);
           this->__isset.route = true;
@@ -2130,7 +2142,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->release);
           this->__isset.release = true;
@@ -2138,7 +2150,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->good);
           this->__isset.good = true;
@@ -2146,7 +2158,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->bad);
           this->__isset.bad = true;
@@ -2154,7 +2166,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->latency_buckets.clear();
@@ -2191,23 +2203,27 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("release_counts");
 
-  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("release", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("release", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->release);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("good", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeFieldBegin("good", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->good);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->bad);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("latency_buckets", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("latency_buckets", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->latency_buckets.size()));
     std::vector<int32_t> ::const_iterator _iter52;
@@ -2226,6 +2242,7 @@
 
 void swap(release_counts &a, release_counts &b) {
   using ::std::swap;
+  swap(a.service_name, b.service_name);
   swap(a.route, b.route);
   swap(a.release, b.release);
   swap(a.good, b.good);
@@ -2235,6 +2252,7 @@
 }
 
 release_counts::release_counts(const release_counts& other53) {
+  service_name = other53.service_name;
   route = other53.route;
   release = other53.release;
   good = other53.good;
@@ -2243,6 +2261,7 @@
   __isset = other53.__isset;
 }
 release_counts::release_counts(release_counts&& other54) noexcept {
+  service_name = std::move(other54.service_name);
   route = std::move(other54.route);
   release = std::move(other54.release);
   good = other54.good;
@@ -2251,6 +2270,7 @@
   __isset = other54.__isset;
 }
 release_counts& release_counts::operator=(const release_counts& other55) {
+  service_name = other55.service_name;
   route = other55.route;
   release = other55.release;
   good = other55.good;
@@ -2260,6 +2280,7 @@
   return *this;
 }
 release_counts& release_counts::operator=(release_counts&& other56) noexcept {
+  service_name = std::move(other56.service_name);
   route = std::move(other56.route);
   release = std::move(other56.release);
   good = other56.good;
@@ -2271,7 +2292,8 @@
 void release_counts::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "release_counts(";
-  out << "route=" << to_string(route);
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "route=" << to_string(route);
   out << ", " << "release=" << to_string(release);
   out << ", " << "good=" << to_string(good);
   out << ", " << "bad=" << to_string(bad);
@@ -2284,10 +2306,6 @@
 }
 
 
-void evidence::__set_service_name(const std::string& val) {
-  this->service_name = val;
-}
-
 void evidence::__set_counts(const std::vector<release_counts> & val) {
   this->counts = val;
 }
@@ -2320,14 +2338,6 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->service_name);
-          this->__isset.service_name = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
@@ -2364,11 +2374,7 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("evidence");
 
-  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->service_name);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
     std::vector<release_counts> ::const_iterator _iter62;
@@ -2387,29 +2393,24 @@
 
 void swap(evidence &a, evidence &b) {
   using ::std::swap;
-  swap(a.service_name, b.service_name);
   swap(a.counts, b.counts);
   swap(a.__isset, b.__isset);
 }
 
 evidence::evidence(const evidence& other63) {
-  service_name = other63.service_name;
   counts = other63.counts;
   __isset = other63.__isset;
 }
 evidence::evidence(evidence&& other64) noexcept {
-  service_name = std::move(other64.service_name);
   counts = std::move(other64.counts);
   __isset = other64.__isset;
 }
 evidence& evidence::operator=(const evidence& other65) {
-  service_name = other65.service_name;
   counts = other65.counts;
   __isset = other65.__isset;
   return *this;
 }
 evidence& evidence::operator=(evidence&& other66) noexcept {
-  service_name = std::move(other66.service_name);
   counts = std::move(other66.counts);
   __isset = other66.__isset;
   return *this;
@@ -2417,8 +2418,7 @@
 void evidence::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "evidence(";
-  out << "service_name=" << to_string(service_name);
-  out << ", " << "counts=" << to_string(counts);
+  out << "counts=" << to_string(counts);
   out << ")";
 }
 
@@ -2439,10 +2439,6 @@
   this->order = val;
 }
 
-void rollout_share::__set_holder(const int64_t val) {
-  this->holder = val;
-}
-
 void rollout_share::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
@@ -2451,8 +2447,12 @@
   this->permille = val;
 }
 
-void rollout_share::__set_state(const int32_t val) {
-  this->state = val;
+void rollout_share::__set_stage(const int32_t val) {
+  this->stage = val;
+}
+
+void rollout_share::__set_phase(const int32_t val) {
+  this->phase = val;
 }
 std::ostream& operator<<(std::ostream& out, const rollout_share& obj)
 {
@@ -2508,32 +2508,32 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->holder);
-          this->__isset.holder = true;
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->permille);
+          this->__isset.permille = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->permille);
-          this->__isset.permille = true;
+          xfer += iprot->readI32(this->stage);
+          this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->state);
-          this->__isset.state = true;
+          xfer += iprot->readI32(this->phase);
+          this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2567,20 +2567,20 @@
   xfer += oprot->writeI64(this->order);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->holder);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("permille", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeFieldBegin("permille", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->permille);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->stage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->phase);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2593,10 +2593,10 @@
   swap(a.service_name, b.service_name);
   swap(a.target, b.target);
   swap(a.order, b.order);
-  swap(a.holder, b.holder);
   swap(a.sequence, b.sequence);
   swap(a.permille, b.permille);
-  swap(a.state, b.state);
+  swap(a.stage, b.stage);
+  swap(a.phase, b.phase);
   swap(a.__isset, b.__isset);
 }
 
@@ -2604,30 +2604,30 @@
   service_name = other67.service_name;
   target = other67.target;
   order = other67.order;
-  holder = other67.holder;
   sequence = other67.sequence;
   permille = other67.permille;
-  state = other67.state;
+  stage = other67.stage;
+  phase = other67.phase;
   __isset = other67.__isset;
 }
 rollout_share::rollout_share(rollout_share&& other68) noexcept {
   service_name = std::move(other68.service_name);
   target = std::move(other68.target);
   order = other68.order;
-  holder = other68.holder;
   sequence = other68.sequence;
   permille = other68.permille;
-  state = other68.state;
+  stage = other68.stage;
+  phase = other68.phase;
   __isset = other68.__isset;
 }
 rollout_share& rollout_share::operator=(const rollout_share& other69) {
   service_name = other69.service_name;
   target = other69.target;
   order = other69.order;
-  holder = other69.holder;
   sequence = other69.sequence;
   permille = other69.permille;
-  state = other69.state;
+  stage = other69.stage;
+  phase = other69.phase;
   __isset = other69.__isset;
   return *this;
 }
@@ -2635,10 +2635,10 @@
   service_name = std::move(other70.service_name);
   target = std::move(other70.target);
   order = other70.order;
-  holder = other70.holder;
   sequence = other70.sequence;
   permille = other70.permille;
-  state = other70.state;
+  stage = other70.stage;
+  phase = other70.phase;
   __isset = other70.__isset;
   return *this;
 }
@@ -2648,10 +2648,10 @@
   out << "service_name=" << to_string(service_name);
   out << ", " << "target=" << to_string(target);
   out << ", " << "order=" << to_string(order);
-  out << ", " << "holder=" << to_string(holder);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "permille=" << to_string(permille);
-  out << ", " << "state=" << to_string(state);
+  out << ", " << "stage=" << to_string(stage);
+  out << ", " << "phase=" << to_string(phase);
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -833,7 +833,8 @@
 std::ostream& operator<<(std::ostream& out, const rows_pull& obj);
 
 typedef struct _release_counts__isset {
-  _release_counts__isset() : route(false), release(false), good(false), bad(false), latency_buckets(false) {}
+  _release_counts__isset() : service_name(false), route(false), release(false), good(false), bad(false), latency_buckets(false) {}
+  bool service_name :1;
   bool route :1;
   bool release :1;
   bool good :1;
@@ -849,13 +850,15 @@
   release_counts& operator=(const release_counts&);
   release_counts& operator=(release_counts&&) noexcept;
   release_counts() noexcept
-                 : route(),
+                 : service_name(),
+                   route(),
                    release(),
                    good(0),
                    bad(0) {
   }
 
   virtual ~release_counts() noexcept;
+  std::string service_name;
   std::string route;
   std::string release;
   int32_t good;
@@ -864,6 +867,8 @@
 
   _release_counts__isset __isset;
 
+  void __set_service_name(const std::string& val);
+
   void __set_route(const std::string& val);
 
   void __set_release(const std::string& val);
@@ -876,6 +881,8 @@
 
   bool operator == (const release_counts & rhs) const
   {
+    if (!(service_name == rhs.service_name))
+      return false;
     if (!(route == rhs.route))
       return false;
     if (!(release == rhs.release))
@@ -905,8 +912,7 @@
 std::ostream& operator<<(std::ostream& out, const release_counts& obj);
 
 typedef struct _evidence__isset {
-  _evidence__isset() : service_name(false), counts(false) {}
-  bool service_name :1;
+  _evidence__isset() : counts(false) {}
   bool counts :1;
 } _evidence__isset;
 
@@ -917,24 +923,18 @@
   evidence(evidence&&) noexcept;
   evidence& operator=(const evidence&);
   evidence& operator=(evidence&&) noexcept;
-  evidence() noexcept
-           : service_name() {
+  evidence() noexcept {
   }
 
   virtual ~evidence() noexcept;
-  std::string service_name;
   std::vector<release_counts>  counts;
 
   _evidence__isset __isset;
 
-  void __set_service_name(const std::string& val);
-
   void __set_counts(const std::vector<release_counts> & val);
 
   bool operator == (const evidence & rhs) const
   {
-    if (!(service_name == rhs.service_name))
-      return false;
     if (!(counts == rhs.counts))
       return false;
     return true;
@@ -956,14 +956,14 @@
 std::ostream& operator<<(std::ostream& out, const evidence& obj);
 
 typedef struct _rollout_share__isset {
-  _rollout_share__isset() : service_name(false), target(false), order(false), holder(false), sequence(false), permille(false), state(false) {}
+  _rollout_share__isset() : service_name(false), target(false), order(false), sequence(false), permille(false), stage(false), phase(false) {}
   bool service_name :1;
   bool target :1;
   bool order :1;
-  bool holder :1;
   bool sequence :1;
   bool permille :1;
-  bool state :1;
+  bool stage :1;
+  bool phase :1;
 } _rollout_share__isset;
 
 class rollout_share : public virtual ::apache::thrift::TBase {
@@ -977,20 +977,20 @@
                 : service_name(),
                   target(),
                   order(0),
-                  holder(0),
                   sequence(0),
                   permille(0),
-                  state(0) {
+                  stage(0),
+                  phase(0) {
   }
 
   virtual ~rollout_share() noexcept;
   std::string service_name;
   std::string target;
   int64_t order;
-  int64_t holder;
   int64_t sequence;
   int32_t permille;
-  int32_t state;
+  int32_t stage;
+  int32_t phase;
 
   _rollout_share__isset __isset;
 
@@ -1000,13 +1000,13 @@
 
   void __set_order(const int64_t val);
 
-  void __set_holder(const int64_t val);
-
   void __set_sequence(const int64_t val);
 
   void __set_permille(const int32_t val);
 
-  void __set_state(const int32_t val);
+  void __set_stage(const int32_t val);
+
+  void __set_phase(const int32_t val);
 
   bool operator == (const rollout_share & rhs) const
   {
@@ -1016,13 +1016,13 @@
       return false;
     if (!(order == rhs.order))
       return false;
-    if (!(holder == rhs.holder))
-      return false;
     if (!(sequence == rhs.sequence))
       return false;
     if (!(permille == rhs.permille))
       return false;
-    if (!(state == rhs.state))
+    if (!(stage == rhs.stage))
+      return false;
+    if (!(phase == rhs.phase))
       return false;
     return true;
   }
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -116,32 +116,33 @@
   1: i64 have_up_to
 }
 
-// Outcomes of a service's requests by release since the sender's last report.
+// What an owner saw of one route on the release beside it since its last report.
 struct release_counts {
-  1: string route
-  2: string release
-  3: i32 good
-  4: i32 bad
-  5: list<i32> latency_buckets
+  1: string service_name
+  2: string route
+  3: string release
+  4: i32 good
+  5: i32 bad
+  // Counts per latency bucket of the good ones, see latency_histogram in the core.
+  6: list<i32> latency_buckets
 }
 
 struct evidence {
-  1: string service_name
-  2: list<release_counts> counts
+  1: list<release_counts> counts
 }
 
-// Share of a service's traffic that goes to a roll-out's target, from the holder of the roll-out.
+// How a roll-out stands, from its holder.
 struct rollout_share {
   1: string service_name
   2: string target
-  // Row version of the order that it belongs to.
+  // Version of the order's row.
   3: i64 order
-  // Version of the row that made the sender the holder; a larger one wins.
-  4: i64 holder
-  5: i64 sequence
-  6: i32 permille
+  // Of two frames about one order the one with a final phase counts, else the larger sequence.
+  4: i64 sequence
+  5: i32 permille
+  6: i32 stage
   // 0 running, 1 completed, 2 rolled back
-  7: i32 state
+  7: i32 phase
 }
 
 // A request that was at work when its backend server died.
