One watcher of the store in each zone; a smaller part of the retry budget

Ruled out: a single watcher without pings: a frozen one would hold a change back for longer than two seconds. Change: the first node of a zone by name reads the store and passes rows on; others take over after 1.2 s of silence, or pull when another zone is ahead. Three tenths of the budget are spent; a request does not go twice to the same backend server while there is another. Use evens out equals only.

--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -65,7 +65,10 @@
     std::optional<backend> app;
     room space;
     std::int64_t config_version = 0;
+    /// It reads the operators' rows from the store, and its last read succeeded.
     bool store_fresh = false;
+    /// Last frame from it, on any connection.
+    time_point heard_at{};
 };
 
 /// All known nodes but the own one.
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -125,6 +125,8 @@
         finish_run(run, {mesh_wire::run_outcome::refused, nullptr, "deadline", {}}, false);
     }
     dial_missing();
+    choose_watcher();
+    ping_zone();
     pull_if_behind();
     judge_rollouts();
     if (now_ >= next_report_) {
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -87,6 +87,8 @@
         std::map<node_id, duration> refused_by;
         /// Owners that have no place in their queue either.
         std::set<node_id> full;
+        /// Backend servers that had it and did not serve it.
+        std::set<backend_id> tried;
         /// Release that the call was given by a roll-out.
         std::optional<release_id> release;
         std::string last_reason;
@@ -199,6 +201,12 @@
     void update_room(peer& from, const mesh_wire::owner_load& load, const route_id* way);
     void lose_peer(peer& lost);
     void pull_if_behind();
+    /// One node in each zone reads the store for the others; each of them takes over by itself.
+    void choose_watcher();
+    void push_rows(const std::vector<mesh_wire::operator_row>& rows);
+    /// A watcher shows the others of its zone that it lives.
+    void ping_zone();
+    bool in_own_zone(const peer& other) const { return other.record.zone == settings_.zone.value(); }
     /// The node that decides on roll-outs: the first by name of those in contact with the store.
     std::optional<node_id> rollout_holder() const;
     void judge_rollouts();
@@ -244,7 +252,10 @@
     std::map<link_id, link_state> links_;
     std::int64_t revision_ = 0;
     bool store_fresh_ = false;
-    time_point next_list_{};
+    time_point next_pull_{};
+    /// Since when some node is known to have a newer configuration.
+    std::optional<time_point> behind_since_;
+    time_point next_ping_{};
     time_point next_report_{};
     bool following_ = true;
 
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -24,9 +24,9 @@
 constexpr double head_bytes = 500;
 /// Assumed size of a route's answers before the first.
 constexpr double first_answer_bytes = 1500;
-/// Part of the mesh's retry budget that the nodes spend: calls made by a repeated run count as
-/// repeats too, and no node sees those of the others.
-constexpr double budget_part = 0.5;
+/// Part of the mesh's retry budget that the nodes spend: the calls that a repeated run makes count as
+/// repeats too, one or two a run, and cannot be told from others.
+constexpr double budget_part = 0.3;
 /// Clients come back after at most this part of the time that they have left.
 constexpr int return_part = 3;
 /// Named to clients when nothing is known of the time until a request could be served.
@@ -160,6 +160,7 @@
         item.slots = queue_.slots();
         item.hold = queue_.hold(call.way->name, queue_.mean_hold());
         item.failing = failing_;
+        item.tried = call.tried.contains(own_->id);
         out.push_back(item);
         apps.push_back(&*own_);
     }
@@ -185,6 +186,7 @@
             item.hold *= 2;
         }
         item.failing = other.space.failing;
+        item.tried = call.tried.contains(other.app->id);
         out.push_back(item);
         apps.push_back(&*other.app);
     }
@@ -230,7 +232,8 @@
     std::vector<const backend*> open_apps;
     for (std::size_t i = 0; i < all.size(); ++i) {
         const bool free = expected_load(all[i]) < all[i].slots && !all[i].no_free_slot;
-        if (free && !call.refused_by.contains(all[i].node)) {
+        const bool again = all[i].tried && all.size() > call.tried.size();
+        if (free && !again && !call.refused_by.contains(all[i].node)) {
             open.push_back(all[i]);
             open_apps.push_back(apps[i]);
         }
@@ -333,6 +336,9 @@
                 name_of(result.outcome) + " reason=" + result.reason + " wait_ms=" +
                 millis(result.wait) + " after_ms=" + millis(now_ - tried.started));
     }
+    if (result.outcome != mesh_wire::run_outcome::refused) {
+        call.tried.insert(tried.backend);
+    }
     switch (result.outcome) {
     case mesh_wire::run_outcome::answered:
         if (result.content->status >= 500 && call.way->safe) {
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -15,6 +15,14 @@
 /// A node that could not be reached for this long is forgotten; its return tells of itself.
 constexpr auto forget_after = 120s;
 constexpr double permille_of_one = 1000;
+/// A watcher pings so often, and is passed over when nothing was heard of it for the silence: a
+/// configuration is in force within two seconds on the fleets with the shortest bound.
+constexpr auto watcher_ping = 400ms;
+constexpr auto watcher_silence = 1200ms;
+/// Time for the own zone's watcher to pass on what another zone has already.
+constexpr auto push_grace = 150ms;
+/// Pause between two pulls.
+constexpr auto pull_pause = 500ms;
 
 } // namespace
 
@@ -166,6 +174,9 @@
         return;
     }
     known->second.last_received = now_;
+    if (auto* from = known->second.peer ? peers_.find(*known->second.peer) : nullptr) {
+        from->heard_at = now_;
+    }
     const auto& frame = *happened.frame;
     if (frame.__isset.state) {
         on_state(happened.link, frame.state);
@@ -296,6 +307,7 @@
     if (state.sender.boot < from.record.boot || state.revision < from.revision) {
         return;
     }
+    from.heard_at = now_;
     from.revision = state.revision;
     from.reported = true;
     from.stopping = state.stopping;
@@ -372,7 +384,8 @@
 
 void node::take(const rows_read& happened)
 {
-    store_fresh_ = happened.fresh;
+    const bool turned = store_fresh_ != (happened.fresh && following_);
+    store_fresh_ = happened.fresh && following_;
     read_up_to_ = std::max(read_up_to_, happened.read_up_to);
     for (const auto& row : happened.rows) {
         auto& known = rows_[row.key];
@@ -380,6 +393,11 @@
             known = row;
         }
     }
+    push_rows(happened.rows);
+    if (turned || !happened.rows.empty()) {
+        // Other zones see by the version in it that there is something new.
+        broadcast_state();
+    }
 }
 
 void node::on_rows(link_id, const mesh_wire::rows_push& frame)
@@ -414,25 +432,83 @@
     send_frame(link, std::move(out));
 }
 
+void node::push_rows(const std::vector<mesh_wire::operator_row>& rows)
+{
+    if (rows.empty()) {
+        return;
+    }
+    mesh_wire::rows_push push;
+    push.__set_rows(rows);
+    push.__set_read_up_to(read_up_to_);
+    mesh_wire::mesh_frame frame;
+    frame.__set_rows(std::move(push));
+    for (const auto& [name, other] : peers_.all()) {
+        if (other.link && in_own_zone(other)) {
+            send_frame(*other.link, frame);
+        }
+    }
+}
+
+void node::choose_watcher()
+{
+    const bool covered = std::any_of(peers_.all().begin(), peers_.all().end(), [&](const auto& entry) {
+        const auto& other = entry.second;
+        return entry.first < settings_.node && other.link && in_own_zone(other) &&
+               !other.stopping && other.store_fresh && now_ - other.heard_at < watcher_silence;
+    });
+    if (covered == following_) {
+        following_ = !covered;
+        out_.emplace_back(follow_store{following_});
+        log(log_level::info, following_ ? "store.watching" : "store.watched_by_other", "", "");
+        store_fresh_ = false;
+    }
+}
+
+void node::ping_zone()
+{
+    if (!following_ || now_ < next_ping_) {
+        return;
+    }
+    next_ping_ = now_ + watcher_ping;
+    mesh_wire::mesh_frame frame;
+    frame.__set_ping(true);
+    for (const auto& [name, other] : peers_.all()) {
+        if (other.link && in_own_zone(other)) {
+            send_frame(*other.link, frame);
+        }
+    }
+}
+
 void node::pull_if_behind()
 {
     const auto own = config_ ? config_->version().value() : 0;
     std::vector<link_id> ahead;
+    std::vector<link_id> ahead_in_zone;
     for (const auto& [name, other] : peers_.all()) {
         if (other.link && other.config_version > own) {
             ahead.push_back(*other.link);
+            if (in_own_zone(other)) {
+                ahead_in_zone.push_back(*other.link);
+            }
         }
     }
-    if (ahead.empty() || now_ < next_list_) {
+    if (ahead.empty()) {
+        behind_since_.reset();
+        return;
+    }
+    behind_since_ = behind_since_.value_or(now_);
+    if (now_ < next_pull_ || now_ < *behind_since_ + push_grace) {
         return;
     }
-    constexpr auto pull_pause = 500ms;
-    next_list_ = now_ + pull_pause;
+    next_pull_ = now_ + pull_pause;
+    const auto& from = ahead_in_zone.empty() ? ahead : ahead_in_zone;
     mesh_wire::rows_pull wanted;
     wanted.__set_have_up_to(0);
     mesh_wire::mesh_frame frame;
     frame.__set_pull(wanted);
-    send_frame(ahead[static_cast<std::size_t>(random_part() * static_cast<double>(ahead.size()))],
+    log(log_level::info, "config.pulled", "",
+        "own_version=" + std::to_string(own) + " ahead=" + std::to_string(ahead.size()));
+    send_frame(from[static_cast<std::size_t>(random_part() * static_cast<double>(from.size()))],
                std::move(frame));
 }
 
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -15,9 +15,11 @@
 /// Value lost by a late answer.
 constexpr double late_loss = 0.7;
 /// Weight of a backend server's use, to even it out among equals.
-constexpr double use_weight = 0.03;
+constexpr double use_weight = 0.012;
 /// Extra loss of a backend server without a free slot: the wait is an estimate.
 constexpr double full_loss = 0.1;
+/// A backend server that did not serve the request once comes behind all others.
+constexpr double tried_loss = 1;
 
 } // namespace
 
@@ -44,7 +46,8 @@
     const double overdue = std::max(0.0, part - late_part) * use_weight;
     const double use = static_cast<double>(load) / slots;
     return late * late_loss + overdue + item.failing + (item.same_zone ? 0 : wanted.crossing_cost) +
-           use_weight * use * (0.5 + wanted.jitter) + (over > 0 ? full_loss : 0);
+           use_weight * use * (0.5 + wanted.jitter) + (over > 0 ? full_loss : 0) +
+           (item.tried ? tried_loss : 0);
 }
 
 std::optional<std::size_t> choose(const std::vector<candidate>& items,
--- a/src/libmesh/placement.h
+++ b/src/libmesh/placement.h
@@ -23,6 +23,8 @@
     /// It refused this node so lately that asking again would only cost the exchange.
     bool no_free_slot = false;
     bool no_queue_place = false;
+    /// It had the request already and did not serve it.
+    bool tried = false;
     /// Time for which a request of the route holds a slot there.
     duration hold{};
     /// Part of its recent answers that were failures, 0 to 1.
--- a/src/libmesh/placement_test.cpp
+++ b/src/libmesh/placement_test.cpp
@@ -29,6 +29,12 @@
     return out;
 }
 
+candidate tried(candidate item)
+{
+    item.tried = true;
+    return item;
+}
+
 struct placement_case {
     const char* name;
     std::vector<candidate> items;
@@ -48,6 +54,8 @@
     {"the sound one beside one that fails", {make("a", true, 1, 100ms, 0.4), make("b", false, 1, 100ms)},
      1},
     {"the less loaded of equals", {make("a", true, 8, 100ms), make("b", true, 2, 100ms)}, 1},
+    {"another one than the one that did not serve it",
+     {tried(make("a", true, 1, 100ms)), make("b", false, 9, 200ms)}, 1},
     {"an old report of a full owner is not believed for long",
      {make("a", true, 10, 100ms, 0, 90ms), make("b", false, 10, 100ms)}, 0},
 };
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -133,6 +133,11 @@
     const auto doubled = first_pause * (1 << std::min(failures_, most_doublings));
     const auto longest = std::min(doubled, longest_pause);
     std::uniform_int_distribution<std::int64_t> pause(longest.count() / 2, longest.count());
+    if (!following_ && (again == &store_follower::read_all || again == &store_follower::follow) &&
+        read_up_to_ > 0) {
+        feed_pending_ = false;
+        return;
+    }
     auto& timer = again == &store_follower::read_all || again == &store_follower::follow
                       ? follow_timer_
                       : announce_timer_;
@@ -169,6 +174,7 @@
         return;
     }
     following_ = follow;
+    // A pending call goes on and shows by its answer how the store is.
     if (follow && !feed_pending_) {
         read_all();
     }
