Hedge overdue answers, pass over silent nodes, reuse the slots of lost answers

Cause: a lost answer kept its slot counted and its client waiting until the route's time limit; a node that was cut off got requests until its connection failed after three seconds. Ruled out: hedging unsafe requests or without the retry budget. Change: a safe request without an answer after three usual times goes to a second owner with a free slot, within the retry budget; nodes that owe an answer are pinged and get nothing new after 600 ms of silence; a backend server that reports fewer requests than were sent has lost answers, and the slots are used again.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	@python3 src/bench/capacity.py --build build/release
 
 format: ## format the sources in place
-	@git ls-files --cached --others --exclude-standard -- 'src/*.cpp' 'src/*.h' | grep -v '/gen-cpp/' | xargs clang-format -i
+	@git ls-files --cached --others --exclude-standard -- 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v '/gen-cpp/' | xargs clang-format -i
 
 lint: build ## clang-tidy
 	@src/build-scripts/check-lint.bash
--- a/src/build-scripts/check-lint.bash
+++ b/src/build-scripts/check-lint.bash
@@ -25,5 +25,5 @@
 if [ $# -gt 0 ]; then
   printf '%s\n' "$@"
 else
-  git ls-files --cached --others --exclude-standard -- 'src/*.cpp' | grep -v '/gen-cpp/'
+  git ls-files --cached --others --exclude-standard -- 'src/*.cpp' 'platform/*.cpp' | grep -v '/gen-cpp/'
 fi | xargs -P "$jobs" -I{} bash -c 'lint_one "$@"' _ {} "$build/lint" "$cache"
--- a/src/camphord/main.cpp
+++ b/src/camphord/main.cpp
@@ -94,8 +94,8 @@
         cxxopts::Options options("camphord", "Node daemon of camphortally");
         options.add_options()("config", "node settings, JSON", cxxopts::value<std::string>())(
             "check-config", "check the settings and exit")(
-            "platform", "serve on the users' platform, settings from its file")("help", "show this")("version",
-                                                                                "show the version");
+            "platform", "serve on the users' platform, settings from its file")(
+            "help", "show this")("version", "show the version");
         return run(options.parse(argc, argv), options);
     } catch (const cxxopts::exceptions::exception& error) {
         std::cerr << "camphord: " << error.what() << "; see --help\n";
--- a/src/libmesh/directory.cpp
+++ b/src/libmesh/directory.cpp
@@ -27,8 +27,8 @@
     out.service = service_id{report.service_name};
     out.release = release_id{report.release};
     out.slots = report.slots;
-    const bool known = report.state >= 0 &&
-                       report.state <= static_cast<std::int32_t>(backend_state::unreachable);
+    const bool known =
+        report.state >= 0 && report.state <= static_cast<std::int32_t>(backend_state::unreachable);
     out.state = known ? static_cast<backend_state>(report.state) : backend_state::unreachable;
     out.cold_until = now + milliseconds(report.cold_left_ms);
     return out;
--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -69,6 +69,8 @@
     bool store_fresh = false;
     /// Last frame from it, on any connection.
     time_point heard_at{};
+    /// First request or ping since then; none while nothing is owed.
+    std::optional<time_point> asked_at;
 };
 
 /// All known nodes but the own one.
--- a/src/libmesh/mesh_config.cpp
+++ b/src/libmesh/mesh_config.cpp
@@ -34,10 +34,11 @@
     const auto first = std::lower_bound(
         routes_.begin(), routes_.end(), host,
         [](const route& item, std::string_view wanted) { return item.host < wanted; });
-    const auto last = std::find_if(first, routes_.end(),
-                                   [&](const route& item) { return item.host != host; });
-    const auto found = std::find_if(
-        first, last, [&](const route& item) { return path.substr(0, item.prefix.size()) == item.prefix; });
+    const auto last =
+        std::find_if(first, routes_.end(), [&](const route& item) { return item.host != host; });
+    const auto found = std::find_if(first, last, [&](const route& item) {
+        return path.substr(0, item.prefix.size()) == item.prefix;
+    });
     return found == last ? nullptr : &*found;
 }
 
--- a/src/libmesh/mesh_config.h
+++ b/src/libmesh/mesh_config.h
@@ -50,8 +50,8 @@
 
 /// What a client may send, and how long it may take.
 struct client_limits {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 64 * 1024 * 1024;
+    std::size_t header_bytes = 16UL * 1024;
+    std::size_t body_bytes = 64UL * 1024 * 1024;
     milliseconds header_timeout{3000};
     milliseconds idle_timeout{15000};
 };
--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -173,11 +173,11 @@
 /// SIGTERM.
 struct stop_asked {};
 
-using event = std::variant<client_request, client_gone, app_answered, app_failed, backend_checked_in,
-                           backend_left, link_opened, link_closed, frame_arrived, config_read,
-                           order_read, rollout_status_read,
-                           rollout_status_written, nodes_listed, rows_read, time_passed,
-                           stop_asked>;
+using event =
+    std::variant<client_request, client_gone, app_answered, app_failed, backend_checked_in,
+                 backend_left, link_opened, link_closed, frame_arrived, config_read, order_read,
+                 rollout_status_read, rollout_status_written, nodes_listed, rows_read, time_passed,
+                 stop_asked>;
 
 // Effects.
 
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -74,9 +74,8 @@
     const auto before = config_ ? config_->version().value() : 0;
     config_ = happened.config;
     log(log_level::info, "config.applied", "",
-        "version=" + std::to_string(config_->version().value()) +
-            " before=" + std::to_string(before) +
-            " routes=" + std::to_string(config_->routes().size()));
+        "version=" + std::to_string(config_->version().value()) + " before=" +
+            std::to_string(before) + " routes=" + std::to_string(config_->routes().size()));
 }
 
 void node::take(const order_read& happened)
@@ -97,9 +96,9 @@
 void node::take(const rollout_status_written& happened)
 {
     rollouts_.on_written(happened, now_);
-    for (auto& share : rollouts_.shares()) {
+    for (const auto& share : rollouts_.shares()) {
         mesh_wire::mesh_frame frame;
-        frame.__set_share(std::move(share));
+        frame.__set_share(share);
         send_to_all(frame);
     }
 }
@@ -127,6 +126,8 @@
     dial_missing();
     choose_watcher();
     ping_zone();
+    ping_owing();
+    hedge_overdue();
     pull_if_behind();
     judge_rollouts();
     if (now_ >= next_report_) {
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -166,6 +166,10 @@
     void on_not_executed(call_state& call, const run_result& result);
     void on_failed(call_state& call, const run_result& result);
     bool may_retry(call_state& call, duration expected);
+    /// Sends safe requests whose answer seems lost to a second owner with a free slot.
+    void hedge_overdue();
+    bool is_overdue(const call_state& call) const;
+    void hedge(call_state& call);
     void give_up(call_state& call, const std::string& reason);
     void refuse(call_state& call, const std::string& reason);
     void on_call_due(call_id id);
@@ -204,9 +208,15 @@
     /// One node in each zone reads the store for the others; each of them takes over by itself.
     void choose_watcher();
     void push_rows(const std::vector<mesh_wire::operator_row>& rows);
+    /// Asks nodes that owe answers whether they live.
+    void ping_owing();
+    bool is_silent(const peer& other) const;
     /// A watcher shows the others of its zone that it lives.
     void ping_zone();
-    bool in_own_zone(const peer& other) const { return other.record.zone == settings_.zone.value(); }
+    bool in_own_zone(const peer& other) const
+    {
+        return other.record.zone == settings_.zone.value();
+    }
     /// The node that decides on roll-outs: the first by name of those in contact with the store.
     std::optional<node_id> rollout_holder() const;
     void judge_rollouts();
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -16,6 +16,11 @@
 constexpr int named_wait_divisor = 2;
 /// A request that holds a slot for the mean time divided by this is short.
 constexpr int short_ratio = 2;
+/// An answer is overdue after this many times the usual; of the usual work a few in a hundred take
+/// longer.
+constexpr int overdue_holds = 3;
+/// Owners that fail more than this part get no second attempts.
+constexpr double worst_hedge = 0.3;
 /// Owners that are asked for a place in their queue.
 constexpr std::size_t most_full = 3;
 /// Value of a request that a kilobyte between zones costs; operators of both meshes price it so.
@@ -24,8 +29,8 @@
 constexpr double head_bytes = 500;
 /// Assumed size of a route's answers before the first.
 constexpr double first_answer_bytes = 1500;
-/// Part of the mesh's retry budget that the nodes spend: the calls that a repeated run makes count as
-/// repeats too, one or two a run, and cannot be told from others.
+/// Part of the mesh's retry budget that the nodes spend: the calls that a repeated run makes count
+/// as repeats too, one or two a run, and cannot be told from others.
 constexpr double budget_part = 0.3;
 /// Clients come back after at most this part of the time that they have left.
 constexpr int return_part = 3;
@@ -62,8 +67,8 @@
         ++counters_.refusals_by_reason[reason];
         log(log_level::warning, "request.refused", content.id,
             "reason=" + reason + " host=" + content.host + " target=" + content.target +
-                " status=" + std::to_string(status) + " config_version=" +
-                std::to_string(config_ ? config_->version().value() : 0));
+                " status=" + std::to_string(status) +
+                " config_version=" + std::to_string(config_ ? config_->version().value() : 0));
         std::optional<milliseconds> retry_after;
         if (status == 503) {
             retry_after = 500ms;
@@ -177,15 +182,14 @@
         item.age = now_ - other.space.reported_at;
         // Within a zone an exchange costs nothing that counts; a short request, such as a call that
         // a running one waits for, is worth it anyway.
-        const bool sparing =
-            !item.same_zone && item.hold * short_ratio > other.space.mean_hold;
+        const bool sparing = !item.same_zone && item.hold * short_ratio > other.space.mean_hold;
         item.no_free_slot = sparing && now_ < other.space.full_until;
         item.no_queue_place = sparing && now_ < other.space.queue_full_until;
         item.hold = other.space.holds.of(call.way->name, other.space.mean_hold);
         if (other.app->cold_until > now_) {
             item.hold *= 2;
         }
-        item.failing = other.space.failing;
+        item.failing = is_silent(other) ? 1.0 : other.space.failing;
         item.tried = call.tried.contains(other.app->id);
         out.push_back(item);
         apps.push_back(&*other.app);
@@ -296,8 +300,7 @@
     wanted.__set_repeated(call.arrivals > 0);
     const auto left = std::chrono::duration_cast<milliseconds>(call.deadline - now_).count();
     wanted.__set_time_left_ms(static_cast<std::int32_t>(left));
-    const auto objective =
-        std::chrono::duration_cast<milliseconds>(call.objective - now_).count();
+    const auto objective = std::chrono::duration_cast<milliseconds>(call.objective - now_).count();
     wanted.__set_objective_left_ms(static_cast<std::int32_t>(objective));
     call.attempts.push_back(made);
     attempts_.emplace(id, call_key);
@@ -306,6 +309,7 @@
         return;
     }
     auto* owner = peers_.find(to.node);
+    owner->asked_at = owner->asked_at.value_or(now_);
     ++owner->space.in_flight;
     ++owner->space.sent_since;
     wanted.__set_method(call.content->method);
@@ -314,7 +318,8 @@
     wanted.__set_body(call.content->body);
     wanted.__set_request_id(call.content->id);
     mesh_wire::mesh_frame frame;
-    frame.__set_run(std::move(wanted));
+    frame.run = std::move(wanted);
+    frame.__isset.run = true;
     send_frame(*owner->link, std::move(frame));
 }
 
@@ -332,9 +337,9 @@
     call.attempts.erase(position);
     if (result.outcome != mesh_wire::run_outcome::answered) {
         log(log_level::info, "attempt.not_served", call.content->id,
-            "owner=" + tried.owner.value() + " backend=" + tried.backend.value() + " outcome=" +
-                name_of(result.outcome) + " reason=" + result.reason + " wait_ms=" +
-                millis(result.wait) + " after_ms=" + millis(now_ - tried.started));
+            "owner=" + tried.owner.value() + " backend=" + tried.backend.value() +
+                " outcome=" + name_of(result.outcome) + " reason=" + result.reason +
+                " wait_ms=" + millis(result.wait) + " after_ms=" + millis(now_ - tried.started));
     }
     if (result.outcome != mesh_wire::run_outcome::refused) {
         call.tried.insert(tried.backend);
@@ -394,8 +399,8 @@
     const auto nodes = static_cast<double>(peers_.all().size() + 1);
     const auto& bounds = settings_.bounds;
     auto& budget = budgets_.try_emplace(call.service, bounds.budget_window).first->second;
-    if (!budget.try_spend(bounds.retry_ratio * budget_part, bounds.retry_extra * budget_part / nodes,
-                          now_)) {
+    if (!budget.try_spend(bounds.retry_ratio * budget_part,
+                          bounds.retry_extra * budget_part / nodes, now_)) {
         call.last_reason = "retry_budget";
         return false;
     }
@@ -433,6 +438,72 @@
     give_up(call, "failed");
 }
 
+bool node::is_overdue(const call_state& call) const
+{
+    if (!call.way->safe || call.attempts.size() != 1 || call.full.size() >= most_full) {
+        return false;
+    }
+    const auto& sent = call.attempts.front();
+    const auto found = peers_.all().find(sent.owner);
+    const bool own = sent.owner == settings_.node;
+    if (!own && (found == peers_.all().end() || is_silent(found->second))) {
+        return true;
+    }
+    const auto hold =
+        own ? queue_.hold(call.way->name, queue_.mean_hold())
+            : found->second.space.holds.of(call.way->name, found->second.space.mean_hold);
+    const duration queued = sent.may_wait ? duration(call.way->objective) : duration{};
+    return now_ - sent.started > hold * overdue_holds + queued;
+}
+
+void node::hedge_overdue()
+{
+    std::vector<call_id> overdue;
+    for (const auto& [id, call] : calls_) {
+        if (is_overdue(call)) {
+            overdue.push_back(id);
+        }
+    }
+    for (const auto id : overdue) {
+        const auto found = calls_.find(id);
+        if (found != calls_.end()) {
+            hedge(found->second);
+        }
+    }
+}
+
+void node::hedge(call_state& call)
+{
+    std::vector<const backend*> apps;
+    const auto all = candidates(call, apps);
+    std::vector<candidate> free;
+    std::vector<const backend*> free_apps;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        if (all[i].node != call.attempts.front().owner && all[i].failing < worst_hedge &&
+            expected_load(all[i]) < all[i].slots && !all[i].tried) {
+            free.push_back(all[i]);
+            free_apps.push_back(apps[i]);
+        }
+    }
+    placement_request wanted;
+    wanted.objective_left = call.deadline - now_;
+    wanted.crossing_cost = crossing_cost(call);
+    const auto best = choose(free, wanted);
+    // The first attempt may have reached its backend server.
+    const int arrivals = call.arrivals;
+    call.arrivals = std::max(call.arrivals, 1);
+    if (!best || !may_retry(call, free[*best].hold)) {
+        call.arrivals = arrivals;
+        return;
+    }
+    call.arrivals = arrivals;
+    call.may_have_run = true;
+    log(log_level::info, "request.hedged", call.content->id,
+        "first_owner=" + call.attempts.front().owner.value() + " second_owner=" +
+            free[*best].node.value() + " after_ms=" + millis(now_ - call.attempts.front().started));
+    send(call, free[*best], *free_apps[*best], false);
+}
+
 void node::give_up(call_state& call, const std::string& reason)
 {
     if (!call.may_have_run) {
@@ -469,16 +540,17 @@
     }
     const auto left = call.client_deadline - now_;
     const bool may_return = wait <= left / return_part;
-    const auto spread = duration(static_cast<duration::rep>(static_cast<double>((left / return_part - wait).count()) * random_part()));
+    const auto spread = duration(static_cast<duration::rep>(
+        static_cast<double>((left / return_part - wait).count()) * random_part()));
     const auto after = may_return ? wait + spread : left;
     log(log_level::warning, "request.refused", call.content->id,
         "reason=" + reason + " last=" + call.last_reason + " route=" + call.way->name.value() +
-            " service=" + call.service.value() + " owners=" +
-            std::to_string(call.refused_by.size()) + " wait_ms=" + millis(wait) +
+            " service=" + call.service.value() +
+            " owners=" + std::to_string(call.refused_by.size()) + " wait_ms=" + millis(wait) +
             " retry_after_ms=" + millis(after) + " after_ms=" + millis(now_ - call.arrived) +
             " config_version=" + std::to_string(call.config->version().value()));
-    out_.emplace_back(deliver_refusal{call.call, 503, reason,
-                                      std::chrono::duration_cast<milliseconds>(after)});
+    out_.emplace_back(
+        deliver_refusal{call.call, 503, reason, std::chrono::duration_cast<milliseconds>(after)});
     drop_attempts(call);
     end_call(call.call);
 }
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -47,7 +47,10 @@
     runs_.emplace(id, std::move(run));
     if (stopping || !usable) {
         ++counters_.owner_refusals;
-        finish_run(id, {mesh_wire::run_outcome::refused, nullptr, stopping ? "stopping" : "no_backend", {}}, false);
+        finish_run(
+            id,
+            {mesh_wire::run_outcome::refused, nullptr, stopping ? "stopping" : "no_backend", {}},
+            false);
         return;
     }
     const auto decided = queue_.offer(item, now_);
@@ -102,7 +105,8 @@
         return;
     }
     mesh_wire::mesh_frame frame;
-    frame.__set_answer(answer_frame(run.origin, result, run.way));
+    frame.answer = answer_frame(run.origin, result, run.way);
+    frame.__isset.answer = true;
     send_frame(*run.origin.link, std::move(frame));
 }
 
@@ -161,8 +165,10 @@
     }
     if (happened.not_executed || happened.other_instance) {
         finish_run(happened.run,
-                   {mesh_wire::run_outcome::not_executed, nullptr,
-                    happened.other_instance ? "other_instance" : "shed", {}},
+                   {mesh_wire::run_outcome::not_executed,
+                    nullptr,
+                    happened.other_instance ? "other_instance" : "shed",
+                    {}},
                    false);
     } else {
         finish_run(happened.run, {mesh_wire::run_outcome::answered, happened.content, "", {}},
@@ -171,7 +177,8 @@
     if (happened.load) {
         // The report counts the request that it comes with, which has just ended here.
         const int others = happened.load->running + happened.load->waiting - 1;
-        queue_.set_foreign(std::max(0, others - queue_.running()));
+        // Fewer than were sent: answers of some were lost, and their slots are free.
+        queue_.set_foreign(std::max(others - queue_.running(), -queue_.running()));
     }
 }
 
@@ -213,7 +220,8 @@
 void node::cancel_run(const run_origin& origin)
 {
     const auto found = std::find_if(runs_.begin(), runs_.end(), [&](const auto& entry) {
-        return same_origin(entry.second.origin.link, entry.second.origin.id, origin.link, origin.id);
+        return same_origin(entry.second.origin.link, entry.second.origin.id, origin.link,
+                           origin.id);
     });
     if (found == runs_.end()) {
         return;
@@ -278,7 +286,8 @@
         return;
     }
     own_->state = state;
-    log(log_level::info, "backend.retired", "", "backend=" + own_->id.value() + " reason=" + reason);
+    log(log_level::info, "backend.retired", "",
+        "backend=" + own_->id.value() + " reason=" + reason);
     refuse_waiting("no_backend");
     broadcast_state();
 }
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -21,6 +21,11 @@
 constexpr auto watcher_silence = 1200ms;
 /// Time for the own zone's watcher to pass on what another zone has already.
 constexpr auto push_grace = 150ms;
+/// A node that owes an answer for so long is asked whether it lives, at each look at the peers.
+constexpr auto ping_after = 150ms;
+/// One that was asked and said nothing for so long gets no new requests: it may be cut off, and its
+/// connections hang. Longer than two looks at the peers.
+constexpr auto silent_after = 600ms;
 /// Pause between two pulls.
 constexpr auto pull_pause = 500ms;
 
@@ -30,7 +35,8 @@
 {
     for (const auto& record : happened.nodes) {
         if (record.node != settings_.node.value() && peers_.learn(record)) {
-            log(log_level::info, "peer.learned", "", "peer=" + record.node + " zone=" + record.zone);
+            log(log_level::info, "peer.learned", "",
+                "peer=" + record.node + " zone=" + record.zone);
         }
     }
     dial_missing();
@@ -72,9 +78,9 @@
     other->failed_dials = 0;
     other->lost_at.reset();
     send_frame(happened.link, state_frame());
-    for (auto& share : rollouts_.shares()) {
+    for (const auto& share : rollouts_.shares()) {
         mesh_wire::mesh_frame frame;
-        frame.__set_share(std::move(share));
+        frame.__set_share(share);
         send_frame(happened.link, std::move(frame));
     }
 }
@@ -117,8 +123,9 @@
     std::vector<attempt_id> broken;
     for (const auto& [id, call] : attempts_) {
         const auto& made = calls_.at(call).attempts;
-        const auto hit = std::find_if(made.begin(), made.end(),
-                                      [&, key = id](const attempt& item) { return item.id == key; });
+        const auto hit = std::find_if(made.begin(), made.end(), [&, key = id](const attempt& item) {
+            return item.id == key;
+        });
         if (hit != made.end() && hit->owner == name) {
             broken.push_back(id);
         }
@@ -151,7 +158,7 @@
     state.__set_config_version(config_ ? config_->version().value() : 0);
     state.__set_store_fresh(store_fresh_);
     mesh_wire::mesh_frame frame;
-    frame.__set_state(std::move(state));
+    frame.__set_state(state);
     return frame;
 }
 
@@ -176,6 +183,7 @@
     known->second.last_received = now_;
     if (auto* from = known->second.peer ? peers_.find(*known->second.peer) : nullptr) {
         from->heard_at = now_;
+        from->asked_at.reset();
     }
     const auto& frame = *happened.frame;
     if (frame.__isset.state) {
@@ -203,6 +211,11 @@
     if (frame.__isset.pull) {
         on_pull(happened.link, frame.pull);
     }
+    if (frame.__isset.ping && frame.ping) {
+        mesh_wire::mesh_frame reply;
+        reply.__set_ping(false);
+        send_frame(happened.link, std::move(reply));
+    }
     if (frame.__isset.share) {
         rollouts_.on_share(frame.share, now_);
     }
@@ -245,13 +258,13 @@
     if (!holder) {
         return;
     }
-    if (auto seen = rollouts_.take_evidence()) {
+    if (const auto seen = rollouts_.take_evidence()) {
         auto* to = peers_.find(*holder);
         if (*holder == settings_.node) {
             rollouts_.on_evidence(*seen, settings_.zone);
         } else if (to != nullptr && to->link) {
             mesh_wire::mesh_frame frame;
-            frame.__set_report(std::move(*seen));
+            frame.__set_report(*seen);
             send_frame(*to->link, std::move(frame));
         }
     }
@@ -274,9 +287,9 @@
     for (auto& line : decided.lines) {
         out_.emplace_back(std::move(line));
     }
-    for (auto& share : decided.shares) {
+    for (const auto& share : decided.shares) {
         mesh_wire::mesh_frame frame;
-        frame.__set_share(std::move(share));
+        frame.__set_share(share);
         send_to_all(frame);
     }
     for (auto& write : decided.writes) {
@@ -375,9 +388,9 @@
     if (rollout_holder() != settings_.node || !rollouts_.any_running()) {
         return;
     }
-    for (auto& share : rollouts_.shares()) {
+    for (const auto& share : rollouts_.shares()) {
         mesh_wire::mesh_frame frame;
-        frame.__set_share(std::move(share));
+        frame.__set_share(share);
         send_to_all(frame);
     }
 }
@@ -428,7 +441,7 @@
     answer.__set_read_up_to(read_up_to_);
     answer.__isset.rows = true;
     mesh_wire::mesh_frame out;
-    out.__set_rows(std::move(answer));
+    out.__set_rows(answer);
     send_frame(link, std::move(out));
 }
 
@@ -441,7 +454,7 @@
     push.__set_rows(rows);
     push.__set_read_up_to(read_up_to_);
     mesh_wire::mesh_frame frame;
-    frame.__set_rows(std::move(push));
+    frame.__set_rows(push);
     for (const auto& [name, other] : peers_.all()) {
         if (other.link && in_own_zone(other)) {
             send_frame(*other.link, frame);
@@ -451,11 +464,12 @@
 
 void node::choose_watcher()
 {
-    const bool covered = std::any_of(peers_.all().begin(), peers_.all().end(), [&](const auto& entry) {
-        const auto& other = entry.second;
-        return entry.first < settings_.node && other.link && in_own_zone(other) &&
-               !other.stopping && other.store_fresh && now_ - other.heard_at < watcher_silence;
-    });
+    const bool covered =
+        std::any_of(peers_.all().begin(), peers_.all().end(), [&](const auto& entry) {
+            const auto& other = entry.second;
+            return entry.first < settings_.node && other.link && in_own_zone(other) &&
+                   !other.stopping && other.store_fresh && now_ - other.heard_at < watcher_silence;
+        });
     if (covered == following_) {
         following_ = !covered;
         out_.emplace_back(follow_store{following_});
@@ -471,7 +485,7 @@
     }
     next_ping_ = now_ + watcher_ping;
     mesh_wire::mesh_frame frame;
-    frame.__set_ping(true);
+    frame.__set_ping(false);
     for (const auto& [name, other] : peers_.all()) {
         if (other.link && in_own_zone(other)) {
             send_frame(*other.link, frame);
@@ -479,6 +493,22 @@
     }
 }
 
+void node::ping_owing()
+{
+    mesh_wire::mesh_frame frame;
+    frame.__set_ping(true);
+    for (const auto& [name, other] : peers_.all()) {
+        if (other.link && other.asked_at && now_ - *other.asked_at > ping_after) {
+            send_frame(*other.link, frame);
+        }
+    }
+}
+
+bool node::is_silent(const peer& other) const
+{
+    return other.asked_at && now_ - *other.asked_at > silent_after;
+}
+
 void node::pull_if_behind()
 {
     const auto own = config_ ? config_->version().value() : 0;
--- a/src/libmesh/placement_test.cpp
+++ b/src/libmesh/placement_test.cpp
@@ -47,17 +47,25 @@
 }
 
 const std::vector<placement_case> placement_cases{
-    {"the own zone when both are in time", {make("a", false, 1, 50ms), make("b", true, 5, 150ms)}, 1},
-    {"another zone when the own is full", {make("a", false, 1, 50ms), make("b", true, 10, 150ms)}, 0},
+    {"the own zone when both are in time",
+     {make("a", false, 1, 50ms), make("b", true, 5, 150ms)},
+     1},
+    {"another zone when the own is full",
+     {make("a", false, 1, 50ms), make("b", true, 10, 150ms)},
+     0},
     {"the fast one when the slow one would be late",
-     {make("a", true, 2, 500ms), make("b", true, 6, 100ms)}, 1},
-    {"the sound one beside one that fails", {make("a", true, 1, 100ms, 0.4), make("b", false, 1, 100ms)},
+     {make("a", true, 2, 500ms), make("b", true, 6, 100ms)},
+     1},
+    {"the sound one beside one that fails",
+     {make("a", true, 1, 100ms, 0.4), make("b", false, 1, 100ms)},
      1},
     {"the less loaded of equals", {make("a", true, 8, 100ms), make("b", true, 2, 100ms)}, 1},
     {"another one than the one that did not serve it",
-     {tried(make("a", true, 1, 100ms)), make("b", false, 9, 200ms)}, 1},
+     {tried(make("a", true, 1, 100ms)), make("b", false, 9, 200ms)},
+     1},
     {"an old report of a full owner is not believed for long",
-     {make("a", true, 10, 100ms, 0, 90ms), make("b", false, 10, 100ms)}, 0},
+     {make("a", true, 10, 100ms, 0, 90ms), make("b", false, 10, 100ms)},
+     0},
 };
 
 } // namespace
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -121,8 +121,8 @@
     view.phase = static_cast<rollout_phase>(frame.phase);
 }
 
-void rollouts::note_run(const service_id& service, const release_id& release,
-                        const route_id& way, bool good, duration held)
+void rollouts::note_run(const service_id& service, const release_id& release, const route_id& way,
+                        bool good, duration held)
 {
     const auto found = views_.find(service);
     if (found == views_.end() || found->second.phase != rollout_phase::running ||
@@ -280,8 +280,7 @@
     return out;
 }
 
-move_policy& rollouts::policy_of(const rollout_view& view, time_point now,
-                                  const limits& allowed)
+move_policy& rollouts::policy_of(const rollout_view& view, time_point now, const limits& allowed)
 {
     auto& known = policies_[view.order.service];
     if (known.policy && known.order == view.order.row_version) {
@@ -300,8 +299,7 @@
     return *known.policy;
 }
 
-rollouts::decisions rollouts::decide(time_point now,
-                                  const limits& allowed)
+rollouts::decisions rollouts::decide(time_point now, const limits& allowed)
 {
     decisions out;
     for (auto& [service, view] : views_) {
@@ -348,12 +346,12 @@
     ++view.sequence;
     out.shares.push_back(frame_of(view));
     out.lines.push_back({log_level::info, "rollout.decided", "",
-                         "service=" + view.order.service.value() + " release=" +
-                             view.order.target.value() + " share_before=" +
-                             std::to_string(before.value()) + " share=" +
-                             std::to_string(view.share.value()) + " phase=" +
-                             std::to_string(static_cast<int>(view.phase)) + " reason=\"" +
-                             decided.reason + "\" evidence=" + decided.evidence});
+                         "service=" + view.order.service.value() +
+                             " release=" + view.order.target.value() +
+                             " share_before=" + std::to_string(before.value()) +
+                             " share=" + std::to_string(view.share.value()) +
+                             " phase=" + std::to_string(static_cast<int>(view.phase)) +
+                             " reason=\"" + decided.reason + "\" evidence=" + decided.evidence});
 }
 
 void rollouts::write_status(rollout_view& view, time_point now, decisions& out)
@@ -364,8 +362,9 @@
         return;
     }
     view.write_pending = true;
-    out.writes.push_back({{view.order.service, view.order.target, view.order.row_version, view.phase},
-                          view.status_version});
+    out.writes.push_back(
+        {{view.order.service, view.order.target, view.order.row_version, view.phase},
+         view.status_version});
 }
 
 } // namespace camphor::mesh
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -1,5 +1,6 @@
 // Roll-outs of a service's next release: what share of the traffic it gets, and how it ends. The
-// judgement is move_policy's; this part feeds it with the owners' evidence and spreads its decisions.
+// judgement is move_policy's; this part feeds it with the owners' evidence and spreads its
+// decisions.
 #pragma once
 
 #include "libmesh/gross_fault.h"
--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -1,6 +1,6 @@
 // The queue before the slots of one backend server. All requests for it pass its own node, so slots
-// in use are counted, not estimated. Answers these load patterns: a steep burst, sustained overload,
-// urgent requests beside less urgent ones, clients that leave while they wait.
+// in use are counted, not estimated. Answers these load patterns: a steep burst, sustained
+// overload, urgent requests beside less urgent ones, clients that leave while they wait.
 #pragma once
 
 #include "libmesh/hold_time.h"
@@ -38,7 +38,8 @@
     /// Slots of the backend server; zero takes nothing.
     void set_slots(int slots) { slots_ = slots; }
     int slots() const { return slots_; }
-    /// Requests at the backend server that this queue did not send, as far as it reported them.
+    /// Requests at the backend server that this queue did not send, as far as it reported them;
+    /// below zero when it runs fewer than were sent.
     void set_foreign(int running) { foreign_ = running; }
 
     /// Takes a slot, a place in the queue, or nothing.
--- a/src/libmesh/slot_queue_test.cpp
+++ b/src/libmesh/slot_queue_test.cpp
@@ -29,8 +29,8 @@
 
 slot_request slot_for(const offered& item, time_point now)
 {
-    return {run_id{item.id}, item.route, item.rank, now + item.deadline, now + item.objective,
-            item.may_wait};
+    return {run_id{item.id},     item.route,           item.rank,
+            now + item.deadline, now + item.objective, item.may_wait};
 }
 
 /// A queue with `slots` slots that has learned to hold `lookup` for 100 ms and `call` for 20 ms.
@@ -73,16 +73,31 @@
     {"a free slot takes it", 1, 0, {1}, slot_queue::verdict::run},
     {"it does not wait unless it may", 2, 0, {1, 1, 1s, 400ms, false}, slot_queue::verdict::refuse},
     {"it waits while it can be in time", 2, 2, {1}, slot_queue::verdict::wait},
-    {"a burst beyond the objective is refused at once", 2, 6, {1, 1, 1s, 390ms},
+    {"a burst beyond the objective is refused at once",
+     2,
+     6,
+     {1, 1, 1s, 390ms},
      slot_queue::verdict::refuse},
-    {"one that cannot be done by its deadline is refused", 2, 0, {1, 1, 120ms, 400ms},
+    {"one that cannot be done by its deadline is refused",
+     2,
+     0,
+     {1, 1, 120ms, 400ms},
      slot_queue::verdict::refuse},
     {"an urgent one passes the less urgent", 2, 6, {1, 0}, slot_queue::verdict::wait},
-    {"one that is late already does not make others late", 2, 1, {1, 1, 1s, 50ms},
+    {"one that is late already does not make others late",
+     2,
+     1,
+     {1, 1, 1s, 50ms},
      slot_queue::verdict::refuse},
-    {"one that is late already waits while nobody else does", 2, 0, {1, 1, 1s, 50ms},
+    {"one that is late already waits while nobody else does",
+     2,
+     0,
+     {1, 1, 1s, 50ms},
      slot_queue::verdict::wait},
-    {"a short call waits until its deadline allows no more", 2, 6, {1, 1, 600ms, 100ms, true, call},
+    {"a short call waits until its deadline allows no more",
+     2,
+     6,
+     {1, 1, 600ms, 100ms, true, call},
      slot_queue::verdict::wait},
 };
 
--- a/src/libshell/http_head.cpp
+++ b/src/libshell/http_head.cpp
@@ -102,7 +102,8 @@
     for (const auto& field : fields) {
         const auto name = field.name_string();
         const std::string_view plain(name.data(), name.size());
-        if (is_dropped(name) || drop(plain) || (has_options && is_connection_option(fields, name))) {
+        if (is_dropped(name) || drop(plain) ||
+            (has_options && is_connection_option(fields, name))) {
             continue;
         }
         add_field(head, plain, {field.value().data(), field.value().size()});
--- a/src/libshell/http_head.h
+++ b/src/libshell/http_head.h
@@ -63,8 +63,8 @@
 std::string origin_form(boost::beast::string_view target);
 /// Host without its port, in lower case.
 std::string host_name(boost::beast::string_view host);
-/// Fields that are passed on end to end, one `Name: value` line each; those for which `drop` is true
-/// are left out too.
+/// Fields that are passed on end to end, one `Name: value` line each; those for which `drop` is
+/// true are left out too.
 std::string end_to_end_fields(const boost::beast::http::fields& fields,
                               bool (*drop)(std::string_view name));
 
--- a/src/libshell/wire_codec.cpp
+++ b/src/libshell/wire_codec.cpp
@@ -16,7 +16,8 @@
 
 constexpr std::uint32_t byte_bits = 8;
 
-template <class Frame> std::string encode(const Frame& frame)
+template <class Frame>
+std::string encode(const Frame& frame)
 {
     const auto buffer = std::make_shared<TMemoryBuffer>();
     compact protocol(buffer);
@@ -33,7 +34,8 @@
     return out + body;
 }
 
-template <class Frame> Frame decode(const std::string& body)
+template <class Frame>
+Frame decode(const std::string& body)
 {
     try {
         const auto buffer = std::make_shared<TMemoryBuffer>();
--- a/src/libshell/wire_codec.h
+++ b/src/libshell/wire_codec.h
@@ -3,9 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <mesh_types.h>
 #include <stdexcept>
 #include <string>
-#include <mesh_types.h>
 #include <wire_types.h>
 
 namespace camphor::shell {
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -45,7 +45,9 @@
 
 bool is_per_hop(std::string_view name)
 {
-    const auto same = [&](const char* other) { return shell::is_same_name(name, other); };
+    const auto same = [&](const char* other) {
+        return shell::is_same_name(name, other);
+    };
     return same(header::not_executed) || same(header::load);
 }
 
@@ -315,15 +317,15 @@
 
 void app_client::implementation::connection::watch_idle()
 {
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
-                                                use = uses_](error_code error) {
-        if (error || self->closed_ || use != self->uses_) {
-            return;
-        }
-        // Closed by the other side, or bytes that nobody asked for.
-        std::erase(self->owner_->idle, self);
-        self->close();
-    });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this(), use = uses_](error_code error) {
+                           if (error || self->closed_ || use != self->uses_) {
+                               return;
+                           }
+                           // Closed by the other side, or bytes that nobody asked for.
+                           std::erase(self->owner_->idle, self);
+                           self->close();
+                       });
 }
 
 void app_client::implementation::connection::fail(mesh::app_failure kind, bool refused_connection)
--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -71,10 +71,9 @@
     if (pending_.empty()) {
         arm_idle();
     }
-    http::async_read_header(socket_, input_, *parser_,
-                            [self = shared_from_this()](error_code error, std::size_t) {
-                                self->on_header(error);
-                            });
+    http::async_read_header(
+        socket_, input_, *parser_,
+        [self = shared_from_this()](error_code error, std::size_t) { self->on_header(error); });
 }
 
 void http_connection::on_header(error_code error)
@@ -115,10 +114,9 @@
 void http_connection::read_body()
 {
     arm_idle();
-    http::async_read(socket_, input_, *parser_,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                         self->on_body(error);
-                     });
+    http::async_read(
+        socket_, input_, *parser_,
+        [self = shared_from_this()](error_code error, std::size_t) { self->on_body(error); });
 }
 
 void http_connection::on_body(error_code error)
@@ -301,8 +299,8 @@
             if (open_.size() % sweep_at == 0) {
                 std::erase_if(open_, [](const auto& item) { return item.expired(); });
             }
-            const auto made = std::make_shared<http_connection>(std::move(socket), handlers_,
-                                                                limits_, numbers_);
+            const auto made =
+                std::make_shared<http_connection>(std::move(socket), handlers_, limits_, numbers_);
             open_.push_back(made);
             made->start();
         }
--- a/src/libsidecar/http_listener.h
+++ b/src/libsidecar/http_listener.h
@@ -25,7 +25,7 @@
 /// What a listener serves by. All functions are called on the I/O thread.
 struct http_handlers {
     /// A whole request; answered later by respond() with the same number.
-    std::function<void(const std::shared_ptr<http_connection>&, std::uint64_t, http_request)>
+    std::function<void(const std::shared_ptr<http_connection>&, std::uint64_t, http_request&&)>
         on_request;
     /// The client closed its connection while the request was not answered.
     std::function<void(std::uint64_t)> on_gone;
@@ -34,8 +34,8 @@
 };
 
 struct http_limits {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 64 * 1024 * 1024;
+    std::size_t header_bytes = 16UL * 1024;
+    std::size_t body_bytes = 64UL * 1024 * 1024;
     std::chrono::milliseconds idle{15'000};
 };
 
--- a/src/libsidecar/peer_links.cpp
+++ b/src/libsidecar/peer_links.cpp
@@ -89,7 +89,7 @@
         read();
     }
 
-    void send(std::string bytes)
+    void send(const std::string& bytes)
     {
         if (waiting_.size() + bytes.size() > queue_limit_bytes) {
             asio::post(owner_->io, [self = shared_from_this()] { self->end(); });
@@ -158,22 +158,22 @@
     {
         const auto used = input_.size();
         input_.resize(used + read_bytes);
-        socket_.async_read_some(asio::buffer(input_.data() + used, read_bytes),
-                                [self = shared_from_this(), used](error_code error,
-                                                                  std::size_t received) {
-                                    if (self->ended_) {
-                                        return;
-                                    }
-                                    self->input_.resize(used + received);
-                                    if (error) {
-                                        self->end();
-                                        return;
-                                    }
-                                    self->owner_->counters.bytes_received += received;
-                                    if (self->take_frames()) {
-                                        self->read();
-                                    }
-                                });
+        socket_.async_read_some(
+            asio::buffer(input_.data() + used, read_bytes),
+            [self = shared_from_this(), used](error_code error, std::size_t received) {
+                if (self->ended_) {
+                    return;
+                }
+                self->input_.resize(used + received);
+                if (error) {
+                    self->end();
+                    return;
+                }
+                self->owner_->counters.bytes_received += received;
+                if (self->take_frames()) {
+                    self->read();
+                }
+            });
     }
 
     /// False when the connection was ended.
@@ -260,8 +260,7 @@
 void peer_links::dial(const mesh_wire::node_record& peer)
 {
     const mesh::link_id id{++self_->last_link};
-    const auto made =
-        std::make_shared<implementation::link>(self_, id, tcp::socket(self_->io));
+    const auto made = std::make_shared<implementation::link>(self_, id, tcp::socket(self_->io));
     self_->links.emplace(id, made);
     made->dial(peer);
 }
@@ -287,7 +286,8 @@
     self_->closed = true;
     error_code ignored;
     self_->acceptor.close(ignored);
-    self_->on_event = [](const mesh::event&) {};
+    self_->on_event = [](const mesh::event&) {
+    };
     const auto all = self_->links;
     for (const auto& [id, item] : all) {
         item->end();
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -16,7 +16,6 @@
 
 namespace camphor::sidecar {
 
-namespace asio = boost::asio;
 namespace http = boost::beast::http;
 namespace header = platform::header;
 using boost::system::error_code;
@@ -39,7 +38,9 @@
 /// Fields of a request that the node sets itself at the backend server.
 bool is_set_by_node(std::string_view name)
 {
-    const auto same = [&](const char* other) { return shell::is_same_name(name, other); };
+    const auto same = [&](const char* other) {
+        return shell::is_same_name(name, other);
+    };
     return same(header::time_left) || same(header::caller_service) ||
            same(header::expected_backend);
 }
@@ -58,7 +59,8 @@
 } // namespace
 
 sidecar::sidecar(mesh::mesh_settings settings)
-    : settings_(std::move(settings)), io_(1), log_({settings_.node, settings_.zone}, log_level::info),
+    : settings_(std::move(settings)), io_(1),
+      log_({settings_.node, settings_.zone}, log_level::info),
       node_(settings_, boot_number(), std::random_device{}()),
       app_(io_, settings_.app, [this](mesh::event happened) { post(std::move(happened)); }),
       peers_(io_, settings_.peers, [this](mesh::event happened) { post(std::move(happened)); }),
@@ -79,9 +81,9 @@
 
 void sidecar::run()
 {
-    write_log({log_level::info, "node.started", "",
-               "service=" + settings_.service.value() +
-                   " boot=" + std::to_string(node_.record().boot)});
+    write_log(
+        {log_level::info, "node.started", "",
+         "service=" + settings_.service.value() + " boot=" + std::to_string(node_.record().boot)});
     watch_signals();
     store_.start();
     arm();
@@ -92,14 +94,16 @@
 http_handlers sidecar::outbound_handlers()
 {
     http_handlers out;
-    out.on_request = [this](const auto& from, std::uint64_t number, http_request message) {
+    out.on_request = [this](const auto& from, std::uint64_t number, http_request&& message) {
         on_client_request(from, number, std::move(message));
     };
     out.on_gone = [this](std::uint64_t number) {
         clients_.erase(number);
         post(mesh::client_gone{call_id{number}});
     };
-    out.is_closing = [this] { return node_.is_stopping(); };
+    out.is_closing = [this] {
+        return node_.is_stopping();
+    };
     return out;
 }
 
@@ -109,8 +113,11 @@
     out.on_request = [this](const auto& from, std::uint64_t number, const http_request& message) {
         on_check_in(from, number, message);
     };
-    out.on_gone = [](std::uint64_t) {};
-    out.is_closing = [] { return false; };
+    out.on_gone = [](std::uint64_t) {
+    };
+    out.is_closing = [] {
+        return false;
+    };
     return out;
 }
 
@@ -119,13 +126,16 @@
     http_handlers out;
     out.on_request = [this](const auto& from, std::uint64_t number, const http_request& message) {
         http_reply reply;
-        const bool asked = platform::is_readiness_question(
-            std::string(message.method_string()), std::string(message.target()));
+        const bool asked = platform::is_readiness_question(std::string(message.method_string()),
+                                                           std::string(message.target()));
         reply.status = !asked ? 404 : node_.is_ready() ? 200 : 503;
         from->respond(number, std::move(reply));
     };
-    out.on_gone = [](std::uint64_t) {};
-    out.is_closing = [] { return false; };
+    out.on_gone = [](std::uint64_t) {
+    };
+    out.is_closing = [] {
+        return false;
+    };
     return out;
 }
 
@@ -138,8 +148,11 @@
         reply.body = render_metrics();
         from->respond(number, std::move(reply));
     };
-    out.on_gone = [](std::uint64_t) {};
-    out.is_closing = [] { return false; };
+    out.on_gone = [](std::uint64_t) {
+    };
+    out.is_closing = [] {
+        return false;
+    };
     return out;
 }
 
@@ -194,7 +207,7 @@
 }
 
 void sidecar::on_client_request(const std::shared_ptr<http_connection>& from, std::uint64_t number,
-                                http_request message)
+                                http_request&& message)
 {
     auto content = std::make_shared<mesh::request>();
     content->method = std::string(message.method_string());
@@ -302,8 +315,8 @@
     log_record record;
     record.level = line.level;
     record.event = line.event;
-    record.detail = line.request_id.empty() ? line.detail
-                                            : "request=" + line.request_id + " " + line.detail;
+    record.detail =
+        line.request_id.empty() ? line.detail : "request=" + line.request_id + " " + line.detail;
     log_.write(record, node_.config() ? node_.config()->version() : config_version{});
 }
 
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -3,11 +3,11 @@
 
 #include "libmesh/mesh_settings.h"
 #include "libmesh/node.h"
+#include "libshell/json_log.h"
 #include "libsidecar/app_client.h"
 #include "libsidecar/http_listener.h"
 #include "libsidecar/peer_links.h"
 #include "libsidecar/store_follower.h"
-#include "libshell/json_log.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -40,7 +40,7 @@
     void perform(const mesh::effect& item);
     void arm();
     void on_client_request(const std::shared_ptr<http_connection>& from, std::uint64_t number,
-                           http_request message);
+                           http_request&& message);
     void on_check_in(const std::shared_ptr<http_connection>& from, std::uint64_t number,
                      const http_request& message);
     void watch_signals();
--- a/src/libsidecar/store_client.cpp
+++ b/src/libsidecar/store_client.cpp
@@ -42,7 +42,7 @@
     void connect();
     void write();
     void read();
-    void finish(store_reply reply, bool keep);
+    void finish(const store_reply& reply, bool keep);
 
     mesh::listen_address address;
     tcp::socket socket;
@@ -104,9 +104,8 @@
 void store_client::implementation::write()
 {
     const auto& call = queue.front().call;
-    http::request<http::string_body> message(call.method == "POST" ? http::verb::post
-                                                                   : http::verb::get,
-                                             call.target, 11);
+    http::request<http::string_body> message(
+        call.method == "POST" ? http::verb::post : http::verb::get, call.target, 11);
     message.set(http::field::host, address.host + ":" + std::to_string(address.port));
     if (!call.body.empty()) {
         message.set(http::field::content_type, "application/json");
@@ -117,18 +116,18 @@
     written = true;
     ++counters.calls;
     counters.bytes += shared->body().size();
-    http::async_write(socket, *shared,
-                      [self = shared_from_this(), shared, mine = turn](error_code error,
-                                                                       std::size_t) {
-                          if (mine != self->turn || self->closed) {
-                              return;
-                          }
-                          if (error) {
-                              self->finish({0, "", error.message(), true}, false);
-                              return;
-                          }
-                          self->read();
-                      });
+    http::async_write(
+        socket, *shared,
+        [self = shared_from_this(), shared, mine = turn](error_code error, std::size_t) {
+            if (mine != self->turn || self->closed) {
+                return;
+            }
+            if (error) {
+                self->finish({0, "", error.message(), true}, false);
+                return;
+            }
+            self->read();
+        });
 }
 
 void store_client::implementation::read()
@@ -153,7 +152,7 @@
                      });
 }
 
-void store_client::implementation::finish(store_reply reply, bool keep)
+void store_client::implementation::finish(const store_reply& reply, bool keep)
 {
     busy = false;
     ++turn;
@@ -167,7 +166,8 @@
         connected = false;
         input.consume(input.size());
     }
-    // A kept connection may have been closed before the call reached the store; reads are sent again.
+    // A kept connection may have been closed before the call reached the store; reads are sent
+    // again.
     if (reply.status == 0 && reused && queue.front().call.method == "GET" &&
         reply.problem != "no answer in time") {
         next();
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -104,24 +104,23 @@
 
 void store_follower::read_status()
 {
-    calls_.call(platform::read_table(platform::status_table), call_limit,
-                [this](const store_reply& reply) {
-                    if (reply.status != status_ok) {
-                        retry_later(reply, &store_follower::read_status);
-                        return;
-                    }
-                    try {
-                        for (const auto& row : platform::read_rows(reply.body).rows) {
-                            if (const auto status =
-                                    platform::read_rollout_status(row.key, row.value)) {
-                                on_event_(mesh::rollout_status_read{*status, row.version});
-                            }
-                        }
-                    } catch (const std::runtime_error& error) {
-                        log(log_level::warning, "store.bad_row",
-                            std::string("table=status reason=") + error.what());
+    calls_.call(
+        platform::read_table(platform::status_table), call_limit, [this](const store_reply& reply) {
+            if (reply.status != status_ok) {
+                retry_later(reply, &store_follower::read_status);
+                return;
+            }
+            try {
+                for (const auto& row : platform::read_rows(reply.body).rows) {
+                    if (const auto status = platform::read_rollout_status(row.key, row.value)) {
+                        on_event_(mesh::rollout_status_read{*status, row.version});
                     }
-                });
+                }
+            } catch (const std::runtime_error& error) {
+                log(log_level::warning, "store.bad_row",
+                    std::string("table=status reason=") + error.what());
+            }
+        });
 }
 
 void store_follower::retry_later(const store_reply& reply, void (store_follower::*again)())
@@ -195,8 +194,7 @@
     }
     feed_pending_ = true;
     feed_.call(platform::follow_table(platform::operator_table, read_up_to_, feed_wait),
-               feed_wait + feed_slack,
-               [this](const store_reply& reply) { on_rows(reply, false); });
+               feed_wait + feed_slack, [this](const store_reply& reply) { on_rows(reply, false); });
 }
 
 void store_follower::on_rows(const store_reply& reply, bool whole_table)
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -1,5 +1,5 @@
-// Keeps a node up to date with the platform's store: makes the node known, lists the others, follows
-// the operators' rows.
+// Keeps a node up to date with the platform's store: makes the node known, lists the others,
+// follows the operators' rows.
 #pragma once
 
 #include "libmesh/messages.h"
