--- /dev/null
+++ b/src/libmesh/test_mesh_net.h
@@ -0,0 +1,397 @@
+// Several nodes with their backend servers and the links between them, in virtual time.
+#pragma once
+
+#include "libmesh/node.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace camphor::mesh::test {
+
+using namespace std::chrono_literals;
+
+/// How a client's request ended.
+struct client_result {
+    std::int32_t status = 0;
+    duration took{};
+    std::optional<milliseconds> retry_after;
+};
+
+/// One backend server: takes `slots` requests at a time and counts how often each id ran.
+struct test_app {
+    backend_id id;
+    service_id service;
+    release_id release{"v1"};
+    int slots = 4;
+    duration work = 100ms;
+    /// Status of every answer.
+    std::int32_t status = 200;
+    /// Answers are lost: the request runs and the node hears nothing.
+    bool loses_answers = false;
+    bool crashed = false;
+    std::int64_t sequence = 0;
+    int running = 0;
+    int most_running = 0;
+    int arrivals = 0;
+    /// Requests that arrived since the backend server said that it leaves.
+    int after_leaving = 0;
+    bool leaving = false;
+};
+
+/// Nodes "n0", "n1", … in zones "z0", "z1", …, each beside one backend server of the service "s".
+class test_net {
+public:
+    explicit test_net(std::size_t nodes, std::size_t zones = 3)
+    {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            add_node(i, "z" + std::to_string(i % zones));
+        }
+        std::vector<mesh_wire::node_record> records;
+        for (const auto& item : hosts_) {
+            records.push_back(item->core.record());
+        }
+        for (auto& item : hosts_) {
+            feed(*item, nodes_listed{records});
+            feed(*item, rows_read{{}, 1, true});
+        }
+        run_for(1s);
+    }
+
+    test_app& app(std::size_t i) { return hosts_.at(i)->app; }
+    node& core(std::size_t i) { return hosts_.at(i)->core; }
+    time_point now() const { return now_; }
+    /// How often the request ran on all backend servers together.
+    int runs(const std::string& id) const
+    {
+        const auto found = runs_.find(id);
+        return found == runs_.end() ? 0 : found->second;
+    }
+    const std::map<std::string, int>& all_runs() const { return runs_; }
+    std::map<std::string, client_result>& results() { return results_; }
+
+    void configure(bool safe, milliseconds timeout = 1000ms, milliseconds objective = 400ms,
+                   std::int64_t version = 1)
+    {
+        route way;
+        way.name = route_id{"r"};
+        way.host = "h";
+        way.prefix = "/p/";
+        way.safe = safe;
+        way.timeout = timeout;
+        way.objective = objective;
+        way.priority = 1;
+        way.max_attempts = 2;
+        way.targets.push_back({service_id{"s"}, 1});
+        const auto config =
+            std::make_shared<const mesh_config>(config_version{version}, std::vector<route>{way},
+                                                std::vector<service_settings>{}, client_limits{});
+        for (auto& item : hosts_) {
+            feed(*item, config_read{config});
+        }
+    }
+
+    void check_in(std::size_t i, bool draining = false)
+    {
+        auto& app = hosts_.at(i)->app;
+        backend_checked_in seen;
+        seen.id = app.id;
+        seen.born = 1;
+        seen.sequence = ++app.sequence;
+        seen.service = app.service;
+        seen.release = app.release;
+        seen.slots = app.slots;
+        seen.draining = draining;
+        app.leaving = app.leaving || draining;
+        feed(*hosts_.at(i), seen);
+    }
+
+    /// A client beside node `i` sends a request.
+    void send(std::size_t i, const std::string& id, milliseconds patience = 2000ms)
+    {
+        auto& at = *hosts_.at(i);
+        const call_id call{++calls_};
+        auto content = std::make_shared<request>();
+        content->method = "GET";
+        content->host = "h";
+        content->target = "/p/" + id;
+        content->id = id;
+        at.clients[call] = {id, now_};
+        feed(at, client_request{call, content, patience});
+    }
+
+    void leave(std::size_t i, const std::string& id)
+    {
+        auto& at = *hosts_.at(i);
+        for (const auto& [call, client] : at.clients) {
+            if (client.id == id) {
+                feed(at, client_gone{call});
+                return;
+            }
+        }
+    }
+
+    /// Frames from and to the node are lost without notice while it is cut.
+    void cut(std::size_t i, bool is_cut) { hosts_.at(i)->cut = is_cut; }
+
+    /// The node's process dies: its connections break.
+    void kill(std::size_t i)
+    {
+        auto& dead = *hosts_.at(i);
+        dead.dead = true;
+        for (const auto& [id, item] : links_) {
+            if (item.from == &dead || item.to == &dead) {
+                const auto key = id;
+                at(1ms, [this, key] { break_link(key); });
+            }
+        }
+    }
+
+    void stop(std::size_t i) { feed(*hosts_.at(i), stop_asked{}); }
+
+    void order_rollout(const std::string& release, milliseconds within)
+    {
+        rollout_order order{service_id{"s"}, release_id{release}, within, ++orders_};
+        for (auto& item : hosts_) {
+            feed(*item, order_read{order});
+        }
+    }
+    /// Statuses of roll-outs that the nodes wrote, in order.
+    const std::vector<rollout_status>& statuses() const { return statuses_; }
+
+    void run_for(duration span)
+    {
+        const auto end = now_ + span;
+        while (!queue_.empty() && queue_.top().at <= end) {
+            const auto next = queue_.top();
+            queue_.pop();
+            now_ = next.at;
+            (*next.act)();
+        }
+        now_ = end;
+    }
+
+private:
+    struct client {
+        std::string id;
+        time_point since;
+    };
+    struct host {
+        host(mesh_settings settings, std::uint64_t seed) : core(std::move(settings), 1, seed) {}
+        node core;
+        test_app app;
+        std::map<call_id, client> clients;
+        std::set<run_id> at_work;
+        bool cut = false;
+        bool dead = false;
+    };
+    struct link {
+        host* from = nullptr;
+        host* to = nullptr;
+        link_id here;
+        link_id there;
+    };
+    struct timed {
+        time_point at;
+        std::uint64_t order = 0;
+        std::shared_ptr<std::function<void()>> act;
+        bool operator<(const timed& other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    static constexpr duration link_delay = 1ms;
+    static constexpr duration tick = 25ms;
+
+    void add_node(std::size_t i, const std::string& zone)
+    {
+        mesh_settings settings;
+        settings.node = node_id{"n" + std::to_string(i)};
+        settings.zone = zone_id{zone};
+        settings.service = service_id{"s"};
+        settings.peers = {settings.node.value(), 1};
+        settings.bounds.retry_extra = 60;
+        auto made = std::make_unique<host>(settings, i + 1);
+        made->app.id = backend_id{"b" + std::to_string(i)};
+        made->app.service = service_id{"s"};
+        hosts_.push_back(std::move(made));
+        schedule_tick(*hosts_.back());
+    }
+
+    void schedule_tick(host& at_host)
+    {
+        at(tick, [this, &at_host] {
+            if (!at_host.dead) {
+                feed(at_host, time_passed{});
+                schedule_tick(at_host);
+            }
+        });
+    }
+
+    void at(duration after, std::function<void()> act)
+    {
+        queue_.push(
+            {now_ + after, ++events_, std::make_shared<std::function<void()>>(std::move(act))});
+    }
+
+    void feed(host& at_host, const event& happened)
+    {
+        if (at_host.dead) {
+            return;
+        }
+        for (const auto& item : at_host.core.step(happened, now_)) {
+            std::visit([&](const auto& order) { perform(at_host, order); }, item);
+        }
+    }
+
+    template <class Other>
+    void perform(host&, const Other&)
+    {
+    }
+
+    void perform(host& from, const deliver_answer& order)
+    {
+        finish(from, order.call, {order.content->status, {}, std::nullopt});
+    }
+    void perform(host& from, const deliver_refusal& order)
+    {
+        finish(from, order.call, {order.status, {}, order.retry_after});
+    }
+    void finish(host& from, call_id call, client_result result)
+    {
+        const auto known = from.clients.at(call);
+        result.took = now_ - known.since;
+        results_[known.id] = result;
+        from.clients.erase(call);
+    }
+
+    void perform(host& from, const send_to_app& order)
+    {
+        auto& app = from.app;
+        if (app.crashed) {
+            at(0ms, [this, &from, run = order.run] {
+                feed(from, app_failed{run, app_failure::unsent, true});
+            });
+            return;
+        }
+        app.after_leaving += app.leaving ? 1 : 0;
+        ++runs_[order.content->id];
+        ++app.running;
+        ++app.arrivals;
+        app.most_running = std::max(app.most_running, app.running);
+        from.at_work.insert(order.run);
+        at(app.work, [this, &from, run = order.run] { finish_run(from, run); });
+    }
+    void finish_run(host& from, run_id run)
+    {
+        if (from.at_work.erase(run) == 0) {
+            return;
+        }
+        auto& app = from.app;
+        const reported_load load{app.running, 0, app.slots};
+        --app.running;
+        if (app.loses_answers) {
+            return;
+        }
+        if (app.crashed) {
+            feed(from, app_failed{run, app_failure::broken, false});
+            return;
+        }
+        auto content = std::make_shared<answer>();
+        content->status = app.status;
+        feed(from, app_answered{run, content, false, false, load});
+    }
+    void perform(host& from, const drop_run& order)
+    {
+        if (from.at_work.erase(order.run) > 0) {
+            --from.app.running;
+        }
+    }
+
+    void perform(host& from, const dial_peer& order)
+    {
+        host* to = nullptr;
+        for (auto& item : hosts_) {
+            to = item->core.record().node == order.peer.node ? item.get() : to;
+        }
+        const link_id here{++last_link_};
+        const node_id name{order.peer.node};
+        if (to == nullptr || to->dead || to->cut || from.cut) {
+            at(500ms, [this, &from, here, name] { feed(from, link_closed{here, name}); });
+            return;
+        }
+        const link_id there{++last_link_};
+        links_[here.value()] = {&from, to, here, there};
+        at(link_delay, [this, &from, to, here, there, name] {
+            feed(*to, link_opened{there, std::nullopt});
+            feed(from, link_opened{here, name});
+        });
+    }
+
+    void perform(host& from, const send_to_peer& order)
+    {
+        for (const auto& [key, item] : links_) {
+            const bool forward = item.here == order.link && item.from == &from;
+            const bool backward = item.there == order.link && item.to == &from;
+            if (!forward && !backward) {
+                continue;
+            }
+            host* to = forward ? item.to : item.from;
+            const auto far = forward ? item.there : item.here;
+            if (from.cut || to->cut) {
+                return;
+            }
+            auto frame = std::make_shared<const mesh_wire::mesh_frame>(order.frame);
+            at(link_delay, [this, to, far, frame] { feed(*to, frame_arrived{far, frame}); });
+            return;
+        }
+    }
+
+    void break_link(std::uint64_t key)
+    {
+        const auto found = links_.find(key);
+        if (found == links_.end()) {
+            return;
+        }
+        const auto item = found->second;
+        links_.erase(found);
+        feed(*item.from, link_closed{item.here, node_id{item.to->core.record().node}});
+        feed(*item.to, link_closed{item.there, std::nullopt});
+    }
+
+    void perform(host& from, const write_rollout_status& order)
+    {
+        const bool fits = order.expected_version == status_version_;
+        rollout_status_written done;
+        done.status = order.status;
+        if (fits) {
+            statuses_.push_back(order.status);
+            status_version_ = ++version_;
+            done.row_version = status_version_;
+        }
+        done.result = fits ? rollout_status_written::outcome::written
+                           : rollout_status_written::outcome::conflict;
+        at(4ms, [this, &from, done] { feed(from, done); });
+    }
+
+    std::vector<std::unique_ptr<host>> hosts_;
+    std::map<std::uint64_t, link> links_;
+    std::priority_queue<timed> queue_;
+    std::map<std::string, int> runs_;
+    std::map<std::string, client_result> results_;
+    std::vector<rollout_status> statuses_;
+    time_point now_{1h};
+    std::uint64_t events_ = 0;
+    std::uint64_t calls_ = 0;
+    std::uint64_t last_link_ = 0;
+    std::int64_t orders_ = 0;
+    std::int64_t version_ = 0;
+    std::int64_t status_version_ = 0;
+};
+
+} // namespace camphor::mesh::test
