Write structured, bounded logs and full metrics

Cause: lines carried their inputs as one text on standard error, their volume had no bound, and metrics had no latencies. Ruled out: one summary without buckets, which cannot be added up over nodes.

--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -245,14 +245,20 @@
     std::int64_t expected_version = 0;
 };
 
+/// One input or outcome of a decision; names are stable.
+struct log_field {
+    std::string name;
+    std::string value;
+};
+using log_fields = std::vector<log_field>;
+
 struct log_line {
     log_level level = log_level::info;
     /// Stable name, such as "request.refused".
     std::string event;
     /// Request that it is about; empty when none.
     std::string request_id;
-    /// Inputs and outcome, `key=value` pairs.
-    std::string detail;
+    log_fields fields;
 };
 
 /// The last request is done after a SIGTERM: the process may end.
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -61,9 +61,9 @@
     return std::uniform_real_distribution<double>(0, 1)(random_);
 }
 
-void node::log(log_level level, std::string name, const std::string& request, std::string detail)
+void node::log(log_level level, std::string name, const std::string& request, log_fields fields)
 {
-    out_.emplace_back(log_line{level, std::move(name), request, std::move(detail)});
+    out_.emplace_back(log_line{level, std::move(name), request, std::move(fields)});
 }
 
 void node::take(const config_read& happened)
@@ -73,9 +73,11 @@
     }
     const auto before = config_ ? config_->version().value() : 0;
     config_ = happened.config;
+    config_at_ = now_;
     log(log_level::info, "config.applied", "",
-        "version=" + std::to_string(config_->version().value()) + " before=" +
-            std::to_string(before) + " routes=" + std::to_string(config_->routes().size()));
+        {{"version", std::to_string(config_->version().value())},
+         {"before", std::to_string(before)},
+         {"routes", std::to_string(config_->routes().size())}});
 }
 
 void node::take(const order_read& happened)
@@ -83,8 +85,9 @@
     const auto& order = happened.order;
     if (rollouts_.on_order(order, now_)) {
         log(log_level::info, "rollout.ordered", "",
-            "service=" + order.service.value() + " release=" + order.target.value() +
-                " duration_ms=" + std::to_string(order.duration.count()));
+            {{"service", order.service.value()},
+             {"release", order.target.value()},
+             {"duration_ms", std::to_string(order.duration.count())}});
     }
 }
 
@@ -111,7 +114,7 @@
     stopping_ = true;
     stop_asked_at_ = now_;
     log(log_level::info, "node.stopping", "",
-        "calls=" + std::to_string(calls_.size()) + " runs=" + std::to_string(runs_.size()));
+        {{"calls", std::to_string(calls_.size())}, {"runs", std::to_string(runs_.size())}});
     broadcast_state();
 }
 
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -30,7 +30,19 @@
     std::uint64_t retries = 0;
     std::uint64_t runs = 0;
     std::uint64_t owner_refusals = 0;
+    std::uint64_t membership_changes = 0;
+    /// Requests that ended without a backend server's answer.
     std::map<std::string, std::uint64_t> refusals_by_reason;
+
+    struct latency_key {
+        service_id service;
+        route_id route;
+        /// "in_time", "late", "refused" or "failed".
+        std::string outcome;
+        friend auto operator<=>(const latency_key&, const latency_key&) = default;
+    };
+    /// Time from a request's arrival to its end.
+    std::map<latency_key, latency_histogram> latencies;
 };
 
 class node {
@@ -50,6 +62,8 @@
     const node_counters& counters() const { return counters_; }
     const slot_queue& queue() const { return queue_; }
     const directory& peers() const { return peers_; }
+    /// Time since the configuration was applied; zero before the first.
+    duration config_age() const { return config_ ? now_ - config_at_ : duration{}; }
     const std::optional<backend>& own_backend() const { return own_; }
     /// This node, as it introduces itself.
     const mesh_wire::node_record& record() const { return record_; }
@@ -146,7 +160,7 @@
     void take(const rows_read& happened);
     void take(const time_passed& happened);
     void take(const stop_asked& happened);
-    void log(log_level level, std::string name, const std::string& request, std::string detail);
+    void log(log_level level, std::string name, const std::string& request, log_fields fields);
     double random_part();
 
     // node_calls.cpp: requests of the clients on this machine.
@@ -174,6 +188,7 @@
     void refuse(call_state& call, const std::string& reason);
     void on_call_due(call_id id);
     void drop_attempts(call_state& call);
+    void note_end(const call_state& call, const char* outcome);
     void end_call(call_id id);
     double crossing_cost(const call_state& call) const;
     void learn_size(const call_state& call, const answer& content);
@@ -231,6 +246,7 @@
     effect_list out_;
 
     mesh_config_ptr config_;
+    time_point config_at_{};
     rollouts rollouts_;
     time_point next_judgement_{};
     /// Operators' rows by key, as last read, for nodes that ask.
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -66,9 +66,11 @@
     const auto refuse_early = [&](std::int32_t status, const std::string& reason) {
         ++counters_.refusals_by_reason[reason];
         log(log_level::warning, "request.refused", content.id,
-            "reason=" + reason + " host=" + content.host + " target=" + content.target +
-                " status=" + std::to_string(status) +
-                " config_version=" + std::to_string(config_ ? config_->version().value() : 0));
+            {{"reason", reason},
+             {"host", content.host},
+             {"target", content.target},
+             {"status", std::to_string(status)},
+             {"config_version", std::to_string(config_ ? config_->version().value() : 0)}});
         std::optional<milliseconds> retry_after;
         if (status == 503) {
             retry_after = 500ms;
@@ -110,7 +112,7 @@
         return;
     }
     log(log_level::info, "request.client_gone", found->second.content->id,
-        "after_ms=" + millis(now_ - found->second.arrived));
+        {{"after_ms", millis(now_ - found->second.arrived)}});
     drop_attempts(found->second);
     end_call(happened.call);
 }
@@ -337,9 +339,12 @@
     call.attempts.erase(position);
     if (result.outcome != mesh_wire::run_outcome::answered) {
         log(log_level::info, "attempt.not_served", call.content->id,
-            "owner=" + tried.owner.value() + " backend=" + tried.backend.value() +
-                " outcome=" + name_of(result.outcome) + " reason=" + result.reason +
-                " wait_ms=" + millis(result.wait) + " after_ms=" + millis(now_ - tried.started));
+            {{"owner", tried.owner.value()},
+             {"backend", tried.backend.value()},
+             {"outcome", name_of(result.outcome)},
+             {"reason", result.reason},
+             {"wait_ms", millis(result.wait)},
+             {"after_ms", millis(now_ - tried.started)}});
     }
     if (result.outcome != mesh_wire::run_outcome::refused) {
         call.tried.insert(tried.backend);
@@ -354,6 +359,21 @@
             return;
         }
         ++counters_.delivered;
+        note_end(call, now_ > call.objective ? "late" : "in_time");
+        if (now_ > call.objective) {
+            log(log_level::info, "request.late", call.content->id,
+                {{"route", call.way->name.value()},
+                 {"service", call.service.value()},
+                 {"owner", tried.owner.value()},
+                 {"backend", tried.backend.value()},
+                 {"release", tried.release.value()},
+                 {"status", std::to_string(result.content->status)},
+                 {"waited_before_ms",
+                  millis(call.way->objective - (call.objective - call.arrived))},
+                 {"attempt_ms", millis(now_ - tried.started)},
+                 {"after_ms", millis(now_ - call.arrived)},
+                 {"config_version", std::to_string(call.config->version().value())}});
+        }
         learn_size(call, *result.content);
         out_.emplace_back(deliver_answer{call.call, result.content});
         drop_attempts(call);
@@ -499,8 +519,9 @@
     call.arrivals = arrivals;
     call.may_have_run = true;
     log(log_level::info, "request.hedged", call.content->id,
-        "first_owner=" + call.attempts.front().owner.value() + " second_owner=" +
-            free[*best].node.value() + " after_ms=" + millis(now_ - call.attempts.front().started));
+        {{"first_owner", call.attempts.front().owner.value()},
+         {"second_owner", free[*best].node.value()},
+         {"after_ms", millis(now_ - call.attempts.front().started)}});
     send(call, free[*best], *free_apps[*best], false);
 }
 
@@ -511,12 +532,16 @@
         return;
     }
     ++counters_.failed;
+    note_end(call, "failed");
     ++counters_.refusals_by_reason[reason];
     log(log_level::warning, "request.failed", call.content->id,
-        "reason=" + reason + " last=" + call.last_reason + " route=" + call.way->name.value() +
-            " service=" + call.service.value() + " arrivals=" + std::to_string(call.arrivals) +
-            " after_ms=" + millis(now_ - call.arrived) +
-            " config_version=" + std::to_string(call.config->version().value()));
+        {{"reason", reason},
+         {"last", call.last_reason},
+         {"route", call.way->name.value()},
+         {"service", call.service.value()},
+         {"arrivals", std::to_string(call.arrivals)},
+         {"after_ms", millis(now_ - call.arrived)},
+         {"config_version", std::to_string(call.config->version().value())}});
     if (call.failed_answer) {
         out_.emplace_back(deliver_answer{call.call, call.failed_answer});
     } else {
@@ -533,6 +558,7 @@
         give_up(call, reason);
         return;
     }
+    note_end(call, "refused");
     ++counters_.refusals_by_reason[reason];
     duration wait = unknown_wait;
     for (const auto& [owner, named] : call.refused_by) {
@@ -544,11 +570,15 @@
         static_cast<double>((left / return_part - wait).count()) * random_part()));
     const auto after = may_return ? wait + spread : left;
     log(log_level::warning, "request.refused", call.content->id,
-        "reason=" + reason + " last=" + call.last_reason + " route=" + call.way->name.value() +
-            " service=" + call.service.value() +
-            " owners=" + std::to_string(call.refused_by.size()) + " wait_ms=" + millis(wait) +
-            " retry_after_ms=" + millis(after) + " after_ms=" + millis(now_ - call.arrived) +
-            " config_version=" + std::to_string(call.config->version().value()));
+        {{"reason", reason},
+         {"last", call.last_reason},
+         {"route", call.way->name.value()},
+         {"service", call.service.value()},
+         {"owners", std::to_string(call.refused_by.size())},
+         {"wait_ms", millis(wait)},
+         {"retry_after_ms", millis(after)},
+         {"after_ms", millis(now_ - call.arrived)},
+         {"config_version", std::to_string(call.config->version().value())}});
     out_.emplace_back(
         deliver_refusal{call.call, 503, reason, std::chrono::duration_cast<milliseconds>(after)});
     drop_attempts(call);
@@ -571,6 +601,11 @@
     give_up(call, "deadline");
 }
 
+void node::note_end(const call_state& call, const char* outcome)
+{
+    counters_.latencies[{call.service, call.way->name, outcome}].add(now_ - call.arrived);
+}
+
 void node::drop_attempts(call_state& call)
 {
     for (const auto& item : call.attempts) {
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -238,7 +238,7 @@
     if (own_ && std::make_pair(happened.born, happened.sequence) <=
                     std::make_pair(own_->born, own_sequence_)) {
         log(log_level::info, "backend.old_check_in", "",
-            "backend=" + happened.id.value() + " sequence=" + std::to_string(happened.sequence));
+            {{"backend", happened.id.value()}, {"sequence", std::to_string(happened.sequence)}});
         return;
     }
     const bool other = !own_ || own_->id != happened.id || own_->born != happened.born;
@@ -252,9 +252,10 @@
     seen.cold_until = now_ + happened.cold_left;
     if (other) {
         log(log_level::info, "backend.started", "",
-            "backend=" + happened.id.value() + " service=" + happened.service.value() +
-                " release=" + happened.release.value() +
-                " slots=" + std::to_string(happened.slots));
+            {{"backend", happened.id.value()},
+             {"service", happened.service.value()},
+             {"release", happened.release.value()},
+             {"slots", std::to_string(happened.slots)}});
         queue_.forget();
         queue_.set_foreign(0);
         failing_ = 0;
@@ -287,7 +288,7 @@
     }
     own_->state = state;
     log(log_level::info, "backend.retired", "",
-        "backend=" + own_->id.value() + " reason=" + reason);
+        {{"backend", own_->id.value()}, {"reason", reason}});
     refuse_waiting("no_backend");
     broadcast_state();
 }
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -36,7 +36,7 @@
     for (const auto& record : happened.nodes) {
         if (record.node != settings_.node.value() && peers_.learn(record)) {
             log(log_level::info, "peer.learned", "",
-                "peer=" + record.node + " zone=" + record.zone);
+                {{"peer", record.node}, {"zone", record.zone}});
         }
     }
     dial_missing();
@@ -47,7 +47,7 @@
     for (auto entry = peers_.all().begin(); entry != peers_.all().end();) {
         auto& other = entry->second;
         if (!other.link && other.lost_at && now_ - *other.lost_at > forget_after) {
-            log(log_level::info, "peer.forgotten", "", "peer=" + entry->first.value());
+            log(log_level::info, "peer.forgotten", "", {{"peer", entry->first.value()}});
             entry = peers_.all().erase(entry);
             continue;
         }
@@ -118,7 +118,8 @@
     if (!was_open) {
         return;
     }
-    log(log_level::warning, "peer.lost", "", "peer=" + lost.record.node);
+    ++counters_.membership_changes;
+    log(log_level::warning, "peer.lost", "", {{"peer", lost.record.node}});
     const node_id name{lost.record.node};
     std::vector<attempt_id> broken;
     for (const auto& [id, call] : attempts_) {
@@ -304,8 +305,9 @@
         return;
     }
     if (peers_.learn(state.sender)) {
+        ++counters_.membership_changes;
         log(log_level::info, "peer.learned", "",
-            "peer=" + state.sender.node + " zone=" + state.sender.zone);
+            {{"peer", state.sender.node}, {"zone", state.sender.zone}});
     }
     auto& from = *peers_.find(name);
     auto& connection = links_.at(link);
@@ -473,7 +475,7 @@
     if (covered == following_) {
         following_ = !covered;
         out_.emplace_back(follow_store{following_});
-        log(log_level::info, following_ ? "store.watching" : "store.watched_by_other", "", "");
+        log(log_level::info, following_ ? "store.watching" : "store.watched_by_other", "", {});
         store_fresh_ = false;
     }
 }
@@ -537,7 +539,7 @@
     mesh_wire::mesh_frame frame;
     frame.__set_pull(wanted);
     log(log_level::info, "config.pulled", "",
-        "own_version=" + std::to_string(own) + " ahead=" + std::to_string(ahead.size()));
+        {{"own_version", std::to_string(own)}, {"ahead", std::to_string(ahead.size())}});
     send_frame(from[static_cast<std::size_t>(random_part() * static_cast<double>(from.size()))],
                std::move(frame));
 }
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -345,13 +345,16 @@
     }
     ++view.sequence;
     out.shares.push_back(frame_of(view));
-    out.lines.push_back({log_level::info, "rollout.decided", "",
-                         "service=" + view.order.service.value() +
-                             " release=" + view.order.target.value() +
-                             " share_before=" + std::to_string(before.value()) +
-                             " share=" + std::to_string(view.share.value()) +
-                             " phase=" + std::to_string(static_cast<int>(view.phase)) +
-                             " reason=\"" + decided.reason + "\" evidence=" + decided.evidence});
+    out.lines.push_back({log_level::info,
+                         "rollout.decided",
+                         "",
+                         {{"service", view.order.service.value()},
+                          {"release", view.order.target.value()},
+                          {"share_before", std::to_string(before.value())},
+                          {"share", std::to_string(view.share.value())},
+                          {"phase", std::to_string(static_cast<int>(view.phase))},
+                          {"reason", decided.reason},
+                          {"evidence", decided.evidence}}});
 }
 
 void rollouts::write_status(rollout_view& view, time_point now, decisions& out)
--- a/src/libmesh/slot_queue.cpp
+++ b/src/libmesh/slot_queue.cpp
@@ -102,6 +102,15 @@
     return run;
 }
 
+std::map<int, int> slot_queue::waiting_by_rank() const
+{
+    std::map<int, int> out;
+    for (const auto& [key, item] : waiting_) {
+        ++out[key.rank];
+    }
+    return out;
+}
+
 std::vector<run_id> slot_queue::expire(time_point now)
 {
     std::vector<run_id> out;
--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -55,6 +55,7 @@
 
     int running() const { return static_cast<int>(running_.size()); }
     int waiting() const { return static_cast<int>(waiting_.size()); }
+    std::map<int, int> waiting_by_rank() const;
     /// Time that a request of the route holds a slot.
     duration hold(const route_id& name, duration prior) const { return holds_.of(name, prior); }
     duration mean_hold() const { return holds_.mean(first_hold); }
--- a/src/libshell/json_log.cpp
+++ b/src/libshell/json_log.cpp
@@ -48,10 +48,15 @@
 } // namespace
 
 json_log::json_log(log_identity identity, log_level level)
+    : json_log(std::move(identity), level, std::cerr)
+{
+}
+
+json_log::json_log(log_identity identity, log_level level, std::ostream& out)
     : identity_(std::move(identity)), level_(level)
 {
     auto backend = boost::make_shared<log::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&out, boost::null_deleter()));
     backend->auto_flush(true);
     process_sink() = boost::make_shared<sink>(backend);
     process_sink()->set_formatter(log::expressions::stream << log::expressions::message);
@@ -73,18 +78,26 @@
 
 void json_log::write(const log_record& record, config_version version)
 {
-    if (record.level < level_) {
-        return;
-    }
     nlohmann::json line{
-        {"time", format_time(wall_now())}, {"level", to_string(record.level)},
-        {"event", record.event},           {"node", identity_.node.value()},
-        {"zone", identity_.zone.value()},  {"config_version", version.value()},
+        {"event", record.event},
+        {"config_version", version.value()},
         {"detail", record.detail},
     };
     if (record.call) {
         line["call"] = record.call->value();
     }
+    write(record.level, std::move(line));
+}
+
+void json_log::write(log_level level, nlohmann::json line)
+{
+    if (level < level_) {
+        return;
+    }
+    line["time"] = format_time(wall_now());
+    line["level"] = to_string(level);
+    line["node"] = identity_.node.value();
+    line["zone"] = identity_.zone.value();
     log::sources::logger logger;
     BOOST_LOG(logger) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/libshell/json_log.h
+++ b/src/libshell/json_log.h
@@ -1,9 +1,12 @@
-// Structured logs: one JSON object a line on standard error.
+// Structured logs: one JSON object a line, on standard error unless said otherwise.
 #pragma once
 
 #include <camphortally/effect.h>
 #include <camphortally/ids.h>
 
+#include <nlohmann/json_fwd.hpp>
+
+#include <iosfwd>
 #include <optional>
 #include <string>
 
@@ -18,6 +21,7 @@
 /// Sets up Boost.Log for the process and flushes it at the end of its life. One per process.
 class json_log {
 public:
+    json_log(log_identity identity, log_level level, std::ostream& out);
     json_log(log_identity identity, log_level level);
     ~json_log();
     json_log(const json_log&) = delete;
@@ -30,6 +34,8 @@
     /// Writes `{"time","level","event","node","zone","config_version","detail"}`, and "call" where
     /// it is about one.
     void write(const log_record& record, config_version version);
+    /// Writes the object with time, level, node and zone added.
+    void write(log_level level, nlohmann::json line);
 
 private:
     log_identity identity_;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -6,12 +6,16 @@
 
 #include "libshell/http_head.h"
 #include "libshell/metrics.h"
+#include "libsidecar/node_metrics.h"
 #include "libsidecar/sidecar.h"
 #include "platform/check_in.h"
 #include "platform/header_names.h"
 
+#include <nlohmann/json.hpp>
+
 #include <charconv>
 #include <csignal>
+#include <iostream>
 #include <random>
 
 namespace camphor::sidecar {
@@ -60,7 +64,7 @@
 
 sidecar::sidecar(mesh::mesh_settings settings)
     : settings_(std::move(settings)), io_(1),
-      log_({settings_.node, settings_.zone}, log_level::info),
+      log_({settings_.node, settings_.zone}, log_level::info, std::cout),
       node_(settings_, boot_number(), std::random_device{}()),
       app_(io_, settings_.app, [this](mesh::event happened) { post(std::move(happened)); }),
       peers_(io_, settings_.peers, [this](mesh::event happened) { post(std::move(happened)); }),
@@ -82,13 +86,15 @@
 void sidecar::run()
 {
     write_log(
-        {log_level::info, "node.started", "",
-         "service=" + settings_.service.value() + " boot=" + std::to_string(node_.record().boot)});
+        {log_level::info,
+         "node.started",
+         "",
+         {{"service", settings_.service.value()}, {"boot", std::to_string(node_.record().boot)}}});
     watch_signals();
     store_.start();
     arm();
     io_.run();
-    write_log({log_level::info, "node.stopped", "", ""});
+    write_log({log_level::info, "node.stopped", "", {}});
 }
 
 http_handlers sidecar::outbound_handlers()
@@ -269,8 +275,10 @@
             post(std::get<mesh::backend_left>(read));
         }
     } catch (const platform::bad_check_in& error) {
-        write_log({log_level::warning, "backend.bad_check_in", "",
-                   "target=" + std::string(message.target()) + " reason=" + error.what()});
+        write_log({log_level::warning,
+                   "backend.bad_check_in",
+                   "",
+                   {{"target", std::string(message.target())}, {"reason", error.what()}}});
         reply.status = 400;
     }
     from->respond(number, std::move(reply));
@@ -283,7 +291,10 @@
             return;
         }
         if (signal == SIGHUP) {
-            write_log({log_level::info, "node.reloaded", "", "settings hold until a restart"});
+            write_log({log_level::info,
+                       "node.reloaded",
+                       "",
+                       {{"note", "settings hold until a restart"}}});
         } else {
             post(mesh::stop_asked{});
         }
@@ -312,35 +323,43 @@
 
 void sidecar::write_log(const mesh::log_line& line)
 {
-    log_record record;
-    record.level = line.level;
-    record.event = line.event;
-    record.detail =
-        line.request_id.empty() ? line.detail : "request=" + line.request_id + " " + line.detail;
-    log_.write(record, node_.config() ? node_.config()->version() : config_version{});
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& [event, count] : limiter_.take_left_out(now)) {
+        log_.write(log_level::warning,
+                   {{"event", "log.left_out"}, {"of", event}, {"lines", count}});
+    }
+    if (!limiter_.admit(line.event, line.level, now)) {
+        return;
+    }
+    nlohmann::json out{{"event", line.event}};
+    if (!line.request_id.empty()) {
+        out["request"] = line.request_id;
+    }
+    for (const auto& field : line.fields) {
+        out[field.name] = field.value;
+    }
+    log_.write(line.level, std::move(out));
 }
 
 std::string sidecar::render_metrics() const
 {
-    const auto& counts = node_.counters();
-    std::string out;
-    const auto line = [&](const char* name, std::uint64_t value) {
-        out += shell::metric_line(name, static_cast<double>(value));
+    std::string out = render_counters(node_);
+    const auto line = [&](const char* name, double value) {
+        out += shell::metric_line(name, value);
     };
-    line("camphor_requests_total", counts.requests);
-    line("camphor_requests_delivered_total", counts.delivered);
-    line("camphor_requests_failed_total", counts.failed);
-    line("camphor_retries_total", counts.retries);
-    line("camphor_runs_total", counts.runs);
-    line("camphor_owner_refusals_total", counts.owner_refusals);
-    for (const auto& [reason, count] : counts.refusals_by_reason) {
-        out += shell::metric_line("camphor_refusals_total{reason=\"" + reason + "\"}",
-                                  static_cast<double>(count));
-    }
-    line("camphor_app_connections_total", app_.counters().connections);
-    line("camphor_app_stray_answers_total", app_.counters().stray_answers);
-    line("camphor_peer_bytes_sent_total", peers_.counters().bytes_sent);
-    line("camphor_store_calls_total", store_.counters().calls);
+    line("camphor_app_connections_total", static_cast<double>(app_.counters().connections));
+    line("camphor_app_failed_connections_total",
+         static_cast<double>(app_.counters().failed_connections));
+    line("camphor_app_stray_answers_total", static_cast<double>(app_.counters().stray_answers));
+    line("camphor_peer_bytes_sent_total", static_cast<double>(peers_.counters().bytes_sent));
+    line("camphor_peer_bytes_received_total",
+         static_cast<double>(peers_.counters().bytes_received));
+    line("camphor_peer_frames_refused_total",
+         static_cast<double>(peers_.counters().refused_frames));
+    line("camphor_store_calls_total", static_cast<double>(store_.counters().calls));
+    line("camphor_store_failures_total", static_cast<double>(store_.counters().failures));
+    line("camphor_store_bytes_total", static_cast<double>(store_.counters().bytes));
+    line("camphor_log_lines_left_out_total", static_cast<double>(limiter_.total_left_out()));
     return out;
 }
 
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -6,6 +6,7 @@
 #include "libshell/json_log.h"
 #include "libsidecar/app_client.h"
 #include "libsidecar/http_listener.h"
+#include "libsidecar/log_limiter.h"
 #include "libsidecar/peer_links.h"
 #include "libsidecar/store_follower.h"
 
@@ -65,6 +66,7 @@
     mesh::mesh_settings settings_;
     boost::asio::io_context io_;
     shell::json_log log_;
+    log_limiter limiter_;
     mesh::node node_;
     app_client app_;
     peer_links peers_;
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -58,9 +58,9 @@
     return out;
 }
 
-void store_follower::log(log_level level, const std::string& name, const std::string& detail)
+void store_follower::log(log_level level, const std::string& name, mesh::log_fields fields)
 {
-    on_log_({level, name, "", detail});
+    on_log_({level, name, "", std::move(fields)});
 }
 
 void store_follower::announce()
@@ -92,7 +92,7 @@
                                 listed.nodes.push_back(platform::read_node_row(row.value));
                             } catch (const platform::bad_row& error) {
                                 log(log_level::warning, "store.bad_row",
-                                    "key=" + row.key + " reason=" + error.what());
+                                    {{"key", row.key}, {"reason", error.what()}});
                             }
                         }
                         on_event_(std::move(listed));
@@ -118,7 +118,7 @@
                 }
             } catch (const std::runtime_error& error) {
                 log(log_level::warning, "store.bad_row",
-                    std::string("table=status reason=") + error.what());
+                    {{"table", "status"}, {"reason", error.what()}});
             }
         });
 }
@@ -159,10 +159,10 @@
     }
     in_contact_ = good;
     if (good) {
-        log(log_level::info, "store.regained", "read_up_to=" + std::to_string(read_up_to_));
+        log(log_level::info, "store.regained", {{"read_up_to", std::to_string(read_up_to_)}});
     } else {
         log(log_level::warning, "store.lost",
-            "status=" + std::to_string(reply.status) + " reason=" + reply.problem);
+            {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
         on_event_(mesh::rows_read{{}, read_up_to_, false});
     }
 }
@@ -203,7 +203,7 @@
         return;
     }
     if (reply.status == status_gone && !whole_table) {
-        log(log_level::info, "store.history_gone", "read_up_to=" + std::to_string(read_up_to_));
+        log(log_level::info, "store.history_gone", {{"read_up_to", std::to_string(read_up_to_)}});
         read_all();
         return;
     }
@@ -249,7 +249,7 @@
             on_event_(std::move(*order));
         }
     } catch (const platform::bad_row& error) {
-        log(log_level::error, "store.bad_row", "key=" + row.key + " reason=" + error.what());
+        log(log_level::error, "store.bad_row", {{"key", row.key}, {"reason", error.what()}});
     }
 }
 
@@ -279,8 +279,9 @@
         } else {
             happened.result = outcome::failed;
             log(log_level::warning, "rollout.status_not_written",
-                "service=" + order.status.service.value() +
-                    " status=" + std::to_string(reply.status) + " reason=" + reply.problem);
+                {{"service", order.status.service.value()},
+                 {"status", std::to_string(reply.status)},
+                 {"reason", reply.problem}});
             // The write may have been carried out: the row tells.
             if (reply.was_sent) {
                 read_status();
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -44,7 +44,7 @@
     void retry_later(const store_reply& reply, void (store_follower::*again)());
     void decode(const mesh_wire::operator_row& row);
     void note_contact(bool good, const store_reply& reply);
-    void log(log_level level, const std::string& name, const std::string& detail);
+    void log(log_level level, const std::string& name, mesh::log_fields fields);
 
     store_client calls_;
     store_client feed_;
