Pass a changed configuration on as a difference

Ruled out: compression alone, a fifth of the bytes at most, with a change each 0.8 s. Change: rows go as pieces of the version before with a hash of the whole; a node with another base pulls the whole row.

--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -34,8 +34,8 @@
 constexpr double budget_part = 0.3;
 /// Clients come back after at most this part of the time that they have left.
 constexpr int return_part = 3;
-/// Clients of one route differ in patience by up to this part of the longest, seen on first attempts
-/// of both meshes; one with less left is back after a refusal.
+/// Clients of one route differ in patience by up to this part of the longest, seen on first
+/// attempts of both meshes; one with less left is back after a refusal.
 constexpr int patience_spread_percent = 15;
 /// Named to clients when nothing is known of the time until a request could be served.
 constexpr auto unknown_wait = 1s;
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -1,6 +1,9 @@
 // Connections to other nodes, and what they tell each other.
+#include "libmesh/document_delta.h"
 #include "libmesh/node.h"
 
+#include <camphortally/balancer.h>
+
 #include <algorithm>
 
 namespace camphor::mesh {
@@ -29,6 +32,46 @@
 /// Pause between two pulls.
 constexpr auto pull_pause = 500ms;
 
+/// Shorter documents go whole.
+constexpr std::size_t least_delta_document = 2'048;
+
+/// `next` as a difference to `base`, or as it is where that does not pay.
+mesh_wire::operator_row as_delta(const mesh_wire::operator_row& base,
+                                 const mesh_wire::operator_row& next)
+{
+    if (base.document.size() < least_delta_document || next.removed) {
+        return next;
+    }
+    mesh_wire::operator_row out;
+    out.__set_key(next.key);
+    out.__set_row_version(next.row_version);
+    out.__set_base_version(base.row_version);
+    out.__set_parts(make_delta(base.document, next.document));
+    out.__set_digest(static_cast<std::int64_t>(stable_hash(next.document)));
+    return out;
+}
+
+/// The whole row; none when it is a difference to something else than `base`.
+std::optional<mesh_wire::operator_row> as_whole(const mesh_wire::operator_row& base,
+                                                const mesh_wire::operator_row& news)
+{
+    if (news.base_version == 0) {
+        return news;
+    }
+    if (news.base_version != base.row_version) {
+        return std::nullopt;
+    }
+    auto document = apply_delta(base.document, news.parts);
+    if (!document || static_cast<std::int64_t>(stable_hash(*document)) != news.digest) {
+        return std::nullopt;
+    }
+    mesh_wire::operator_row out;
+    out.__set_key(news.key);
+    out.__set_row_version(news.row_version);
+    out.__set_document(*document);
+    return out;
+}
+
 } // namespace
 
 void node::take(const nodes_listed& happened)
@@ -402,14 +445,16 @@
     const bool turned = store_fresh_ != (happened.fresh && following_);
     store_fresh_ = happened.fresh && following_;
     read_up_to_ = std::max(read_up_to_, happened.read_up_to);
+    std::vector<mesh_wire::operator_row> news;
     for (const auto& row : happened.rows) {
         auto& known = rows_[row.key];
-        if (row.row_version >= known.row_version) {
+        if (row.row_version > known.row_version) {
+            news.push_back(as_delta(known, row));
             known = row;
         }
     }
-    push_rows(happened.rows);
-    if (turned || !happened.rows.empty()) {
+    push_rows(news);
+    if (turned || !news.empty()) {
         // Other zones see by the version in it that there is something new.
         broadcast_state();
     }
@@ -420,9 +465,13 @@
     take_rows order;
     for (const auto& row : frame.rows) {
         auto& known = rows_[row.key];
-        if (row.row_version > known.row_version) {
-            known = row;
-            order.rows.push_back(row);
+        if (row.row_version <= known.row_version) {
+            continue;
+        }
+        // A difference to another version than the own one is left: the node pulls the whole row.
+        if (const auto whole = as_whole(known, row)) {
+            known = *whole;
+            order.rows.push_back(known);
         }
     }
     read_up_to_ = std::max(read_up_to_, frame.read_up_to);
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -1660,6 +1660,151 @@
 }
 
 
+document_part::~document_part() noexcept {
+}
+
+
+void document_part::__set_first(const int32_t val) {
+  this->first = val;
+}
+
+void document_part::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void document_part::__set_literal(const std::string& val) {
+  this->literal = val;
+}
+std::ostream& operator<<(std::ostream& out, const document_part& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t document_part::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->literal);
+          this->__isset.literal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t document_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("document_part");
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("literal", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->literal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(document_part &a, document_part &b) {
+  using ::std::swap;
+  swap(a.first, b.first);
+  swap(a.count, b.count);
+  swap(a.literal, b.literal);
+  swap(a.__isset, b.__isset);
+}
+
+document_part::document_part(const document_part& other29) {
+  first = other29.first;
+  count = other29.count;
+  literal = other29.literal;
+  __isset = other29.__isset;
+}
+document_part::document_part(document_part&& other30) noexcept {
+  first = other30.first;
+  count = other30.count;
+  literal = std::move(other30.literal);
+  __isset = other30.__isset;
+}
+document_part& document_part::operator=(const document_part& other31) {
+  first = other31.first;
+  count = other31.count;
+  literal = other31.literal;
+  __isset = other31.__isset;
+  return *this;
+}
+document_part& document_part::operator=(document_part&& other32) noexcept {
+  first = other32.first;
+  count = other32.count;
+  literal = std::move(other32.literal);
+  __isset = other32.__isset;
+  return *this;
+}
+void document_part::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "document_part(";
+  out << "first=" << to_string(first);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "literal=" << to_string(literal);
+  out << ")";
+}
+
+
 operator_row::~operator_row() noexcept {
 }
 
@@ -1679,6 +1824,18 @@
 void operator_row::__set_removed(const bool val) {
   this->removed = val;
 }
+
+void operator_row::__set_base_version(const int64_t val) {
+  this->base_version = val;
+}
+
+void operator_row::__set_parts(const std::vector<document_part> & val) {
+  this->parts = val;
+}
+
+void operator_row::__set_digest(const int64_t val) {
+  this->digest = val;
+}
 std::ostream& operator<<(std::ostream& out, const operator_row& obj)
 {
   obj.printTo(out);
@@ -1739,6 +1896,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_version);
+          this->__isset.base_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->parts.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
+            {
+              xfer += this->parts[_i37].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1772,6 +1965,26 @@
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->base_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<document_part> ::const_iterator _iter38;
+    for (_iter38 = this->parts.begin(); _iter38 != this->parts.end(); ++_iter38)
+    {
+      xfer += (*_iter38).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1783,37 +1996,52 @@
   swap(a.row_version, b.row_version);
   swap(a.document, b.document);
   swap(a.removed, b.removed);
+  swap(a.base_version, b.base_version);
+  swap(a.parts, b.parts);
+  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
-operator_row::operator_row(const operator_row& other29) {
-  key = other29.key;
-  row_version = other29.row_version;
-  document = other29.document;
-  removed = other29.removed;
-  __isset = other29.__isset;
+operator_row::operator_row(const operator_row& other39) {
+  key = other39.key;
+  row_version = other39.row_version;
+  document = other39.document;
+  removed = other39.removed;
+  base_version = other39.base_version;
+  parts = other39.parts;
+  digest = other39.digest;
+  __isset = other39.__isset;
 }
-operator_row::operator_row(operator_row&& other30) noexcept {
-  key = std::move(other30.key);
-  row_version = other30.row_version;
-  document = std::move(other30.document);
-  removed = other30.removed;
-  __isset = other30.__isset;
+operator_row::operator_row(operator_row&& other40) noexcept {
+  key = std::move(other40.key);
+  row_version = other40.row_version;
+  document = std::move(other40.document);
+  removed = other40.removed;
+  base_version = other40.base_version;
+  parts = std::move(other40.parts);
+  digest = other40.digest;
+  __isset = other40.__isset;
 }
-operator_row& operator_row::operator=(const operator_row& other31) {
-  key = other31.key;
-  row_version = other31.row_version;
-  document = other31.document;
-  removed = other31.removed;
-  __isset = other31.__isset;
+operator_row& operator_row::operator=(const operator_row& other41) {
+  key = other41.key;
+  row_version = other41.row_version;
+  document = other41.document;
+  removed = other41.removed;
+  base_version = other41.base_version;
+  parts = other41.parts;
+  digest = other41.digest;
+  __isset = other41.__isset;
   return *this;
 }
-operator_row& operator_row::operator=(operator_row&& other32) noexcept {
-  key = std::move(other32.key);
-  row_version = other32.row_version;
-  document = std::move(other32.document);
-  removed = other32.removed;
-  __isset = other32.__isset;
+operator_row& operator_row::operator=(operator_row&& other42) noexcept {
+  key = std::move(other42.key);
+  row_version = other42.row_version;
+  document = std::move(other42.document);
+  removed = other42.removed;
+  base_version = other42.base_version;
+  parts = std::move(other42.parts);
+  digest = other42.digest;
+  __isset = other42.__isset;
   return *this;
 }
 void operator_row::printTo(std::ostream& out) const {
@@ -1823,6 +2051,9 @@
   out << ", " << "row_version=" << to_string(row_version);
   out << ", " << "document=" << to_string(document);
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "base_version=" << to_string(base_version);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "digest=" << to_string(digest);
   out << ")";
 }
 
@@ -1870,14 +2101,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->rows.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->rows.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->rows[_i37].read(iprot);
+              xfer += this->rows[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1914,10 +2145,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<operator_row> ::const_iterator _iter38;
-    for (_iter38 = this->rows.begin(); _iter38 != this->rows.end(); ++_iter38)
+    std::vector<operator_row> ::const_iterator _iter48;
+    for (_iter48 = this->rows.begin(); _iter48 != this->rows.end(); ++_iter48)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1939,26 +2170,26 @@
   swap(a.__isset, b.__isset);
 }
 
-rows_push::rows_push(const rows_push& other39) {
-  rows = other39.rows;
-  read_up_to = other39.read_up_to;
-  __isset = other39.__isset;
+rows_push::rows_push(const rows_push& other49) {
+  rows = other49.rows;
+  read_up_to = other49.read_up_to;
+  __isset = other49.__isset;
 }
-rows_push::rows_push(rows_push&& other40) noexcept {
-  rows = std::move(other40.rows);
-  read_up_to = other40.read_up_to;
-  __isset = other40.__isset;
+rows_push::rows_push(rows_push&& other50) noexcept {
+  rows = std::move(other50.rows);
+  read_up_to = other50.read_up_to;
+  __isset = other50.__isset;
 }
-rows_push& rows_push::operator=(const rows_push& other41) {
-  rows = other41.rows;
-  read_up_to = other41.read_up_to;
-  __isset = other41.__isset;
+rows_push& rows_push::operator=(const rows_push& other51) {
+  rows = other51.rows;
+  read_up_to = other51.read_up_to;
+  __isset = other51.__isset;
   return *this;
 }
-rows_push& rows_push::operator=(rows_push&& other42) noexcept {
-  rows = std::move(other42.rows);
-  read_up_to = other42.read_up_to;
-  __isset = other42.__isset;
+rows_push& rows_push::operator=(rows_push&& other52) noexcept {
+  rows = std::move(other52.rows);
+  read_up_to = other52.read_up_to;
+  __isset = other52.__isset;
   return *this;
 }
 void rows_push::printTo(std::ostream& out) const {
@@ -2045,22 +2276,22 @@
   swap(a.__isset, b.__isset);
 }
 
-rows_pull::rows_pull(const rows_pull& other43) noexcept {
-  have_up_to = other43.have_up_to;
-  __isset = other43.__isset;
+rows_pull::rows_pull(const rows_pull& other53) noexcept {
+  have_up_to = other53.have_up_to;
+  __isset = other53.__isset;
 }
-rows_pull::rows_pull(rows_pull&& other44) noexcept {
-  have_up_to = other44.have_up_to;
-  __isset = other44.__isset;
+rows_pull::rows_pull(rows_pull&& other54) noexcept {
+  have_up_to = other54.have_up_to;
+  __isset = other54.__isset;
 }
-rows_pull& rows_pull::operator=(const rows_pull& other45) noexcept {
-  have_up_to = other45.have_up_to;
-  __isset = other45.__isset;
+rows_pull& rows_pull::operator=(const rows_pull& other55) noexcept {
+  have_up_to = other55.have_up_to;
+  __isset = other55.__isset;
   return *this;
 }
-rows_pull& rows_pull::operator=(rows_pull&& other46) noexcept {
-  have_up_to = other46.have_up_to;
-  __isset = other46.__isset;
+rows_pull& rows_pull::operator=(rows_pull&& other56) noexcept {
+  have_up_to = other56.have_up_to;
+  __isset = other56.__isset;
   return *this;
 }
 void rows_pull::printTo(std::ostream& out) const {
@@ -2170,14 +2401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->latency_buckets.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->latency_buckets.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->latency_buckets.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += iprot->readI32(this->latency_buckets[_i51]);
+              xfer += iprot->readI32(this->latency_buckets[_i61]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2226,10 +2457,10 @@
   xfer += oprot->writeFieldBegin("latency_buckets", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->latency_buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter52;
-    for (_iter52 = this->latency_buckets.begin(); _iter52 != this->latency_buckets.end(); ++_iter52)
+    std::vector<int32_t> ::const_iterator _iter62;
+    for (_iter62 = this->latency_buckets.begin(); _iter62 != this->latency_buckets.end(); ++_iter62)
     {
-      xfer += oprot->writeI32((*_iter52));
+      xfer += oprot->writeI32((*_iter62));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2251,42 +2482,42 @@
   swap(a.__isset, b.__isset);
 }
 
-release_counts::release_counts(const release_counts& other53) {
-  service_name = other53.service_name;
-  route = other53.route;
-  release = other53.release;
-  good = other53.good;
-  bad = other53.bad;
-  latency_buckets = other53.latency_buckets;
-  __isset = other53.__isset;
+release_counts::release_counts(const release_counts& other63) {
+  service_name = other63.service_name;
+  route = other63.route;
+  release = other63.release;
+  good = other63.good;
+  bad = other63.bad;
+  latency_buckets = other63.latency_buckets;
+  __isset = other63.__isset;
 }
-release_counts::release_counts(release_counts&& other54) noexcept {
-  service_name = std::move(other54.service_name);
-  route = std::move(other54.route);
-  release = std::move(other54.release);
-  good = other54.good;
-  bad = other54.bad;
-  latency_buckets = std::move(other54.latency_buckets);
-  __isset = other54.__isset;
+release_counts::release_counts(release_counts&& other64) noexcept {
+  service_name = std::move(other64.service_name);
+  route = std::move(other64.route);
+  release = std::move(other64.release);
+  good = other64.good;
+  bad = other64.bad;
+  latency_buckets = std::move(other64.latency_buckets);
+  __isset = other64.__isset;
 }
-release_counts& release_counts::operator=(const release_counts& other55) {
-  service_name = other55.service_name;
-  route = other55.route;
-  release = other55.release;
-  good = other55.good;
-  bad = other55.bad;
-  latency_buckets = other55.latency_buckets;
-  __isset = other55.__isset;
+release_counts& release_counts::operator=(const release_counts& other65) {
+  service_name = other65.service_name;
+  route = other65.route;
+  release = other65.release;
+  good = other65.good;
+  bad = other65.bad;
+  latency_buckets = other65.latency_buckets;
+  __isset = other65.__isset;
   return *this;
 }
-release_counts& release_counts::operator=(release_counts&& other56) noexcept {
-  service_name = std::move(other56.service_name);
-  route = std::move(other56.route);
-  release = std::move(other56.release);
-  good = other56.good;
-  bad = other56.bad;
-  latency_buckets = std::move(other56.latency_buckets);
-  __isset = other56.__isset;
+release_counts& release_counts::operator=(release_counts&& other66) noexcept {
+  service_name = std::move(other66.service_name);
+  route = std::move(other66.route);
+  release = std::move(other66.release);
+  good = other66.good;
+  bad = other66.bad;
+  latency_buckets = std::move(other66.latency_buckets);
+  __isset = other66.__isset;
   return *this;
 }
 void release_counts::printTo(std::ostream& out) const {
@@ -2341,14 +2572,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->counts.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->counts.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->counts[_i61].read(iprot);
+              xfer += this->counts[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2377,10 +2608,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<release_counts> ::const_iterator _iter62;
-    for (_iter62 = this->counts.begin(); _iter62 != this->counts.end(); ++_iter62)
+    std::vector<release_counts> ::const_iterator _iter72;
+    for (_iter72 = this->counts.begin(); _iter72 != this->counts.end(); ++_iter72)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2397,22 +2628,22 @@
   swap(a.__isset, b.__isset);
 }
 
-evidence::evidence(const evidence& other63) {
-  counts = other63.counts;
-  __isset = other63.__isset;
+evidence::evidence(const evidence& other73) {
+  counts = other73.counts;
+  __isset = other73.__isset;
 }
-evidence::evidence(evidence&& other64) noexcept {
-  counts = std::move(other64.counts);
-  __isset = other64.__isset;
+evidence::evidence(evidence&& other74) noexcept {
+  counts = std::move(other74.counts);
+  __isset = other74.__isset;
 }
-evidence& evidence::operator=(const evidence& other65) {
-  counts = other65.counts;
-  __isset = other65.__isset;
+evidence& evidence::operator=(const evidence& other75) {
+  counts = other75.counts;
+  __isset = other75.__isset;
   return *this;
 }
-evidence& evidence::operator=(evidence&& other66) noexcept {
-  counts = std::move(other66.counts);
-  __isset = other66.__isset;
+evidence& evidence::operator=(evidence&& other76) noexcept {
+  counts = std::move(other76.counts);
+  __isset = other76.__isset;
   return *this;
 }
 void evidence::printTo(std::ostream& out) const {
@@ -2600,46 +2831,46 @@
   swap(a.__isset, b.__isset);
 }
 
-rollout_share::rollout_share(const rollout_share& other67) {
-  service_name = other67.service_name;
-  target = other67.target;
-  order = other67.order;
-  sequence = other67.sequence;
-  permille = other67.permille;
-  stage = other67.stage;
-  phase = other67.phase;
-  __isset = other67.__isset;
-}
-rollout_share::rollout_share(rollout_share&& other68) noexcept {
-  service_name = std::move(other68.service_name);
-  target = std::move(other68.target);
-  order = other68.order;
-  sequence = other68.sequence;
-  permille = other68.permille;
-  stage = other68.stage;
-  phase = other68.phase;
-  __isset = other68.__isset;
-}
-rollout_share& rollout_share::operator=(const rollout_share& other69) {
-  service_name = other69.service_name;
-  target = other69.target;
-  order = other69.order;
-  sequence = other69.sequence;
-  permille = other69.permille;
-  stage = other69.stage;
-  phase = other69.phase;
-  __isset = other69.__isset;
+rollout_share::rollout_share(const rollout_share& other77) {
+  service_name = other77.service_name;
+  target = other77.target;
+  order = other77.order;
+  sequence = other77.sequence;
+  permille = other77.permille;
+  stage = other77.stage;
+  phase = other77.phase;
+  __isset = other77.__isset;
+}
+rollout_share::rollout_share(rollout_share&& other78) noexcept {
+  service_name = std::move(other78.service_name);
+  target = std::move(other78.target);
+  order = other78.order;
+  sequence = other78.sequence;
+  permille = other78.permille;
+  stage = other78.stage;
+  phase = other78.phase;
+  __isset = other78.__isset;
+}
+rollout_share& rollout_share::operator=(const rollout_share& other79) {
+  service_name = other79.service_name;
+  target = other79.target;
+  order = other79.order;
+  sequence = other79.sequence;
+  permille = other79.permille;
+  stage = other79.stage;
+  phase = other79.phase;
+  __isset = other79.__isset;
   return *this;
 }
-rollout_share& rollout_share::operator=(rollout_share&& other70) noexcept {
-  service_name = std::move(other70.service_name);
-  target = std::move(other70.target);
-  order = other70.order;
-  sequence = other70.sequence;
-  permille = other70.permille;
-  stage = other70.stage;
-  phase = other70.phase;
-  __isset = other70.__isset;
+rollout_share& rollout_share::operator=(rollout_share&& other80) noexcept {
+  service_name = std::move(other80.service_name);
+  target = std::move(other80.target);
+  order = other80.order;
+  sequence = other80.sequence;
+  permille = other80.permille;
+  stage = other80.stage;
+  phase = other80.phase;
+  __isset = other80.__isset;
   return *this;
 }
 void rollout_share::printTo(std::ostream& out) const {
@@ -2748,26 +2979,26 @@
   swap(a.__isset, b.__isset);
 }
 
-crash_report::crash_report(const crash_report& other71) {
-  fingerprint = other71.fingerprint;
-  backend = other71.backend;
-  __isset = other71.__isset;
+crash_report::crash_report(const crash_report& other81) {
+  fingerprint = other81.fingerprint;
+  backend = other81.backend;
+  __isset = other81.__isset;
 }
-crash_report::crash_report(crash_report&& other72) noexcept {
-  fingerprint = other72.fingerprint;
-  backend = std::move(other72.backend);
-  __isset = other72.__isset;
+crash_report::crash_report(crash_report&& other82) noexcept {
+  fingerprint = other82.fingerprint;
+  backend = std::move(other82.backend);
+  __isset = other82.__isset;
 }
-crash_report& crash_report::operator=(const crash_report& other73) {
-  fingerprint = other73.fingerprint;
-  backend = other73.backend;
-  __isset = other73.__isset;
+crash_report& crash_report::operator=(const crash_report& other83) {
+  fingerprint = other83.fingerprint;
+  backend = other83.backend;
+  __isset = other83.__isset;
   return *this;
 }
-crash_report& crash_report::operator=(crash_report&& other74) noexcept {
-  fingerprint = other74.fingerprint;
-  backend = std::move(other74.backend);
-  __isset = other74.__isset;
+crash_report& crash_report::operator=(crash_report&& other84) noexcept {
+  fingerprint = other84.fingerprint;
+  backend = std::move(other84.backend);
+  __isset = other84.__isset;
   return *this;
 }
 void crash_report::printTo(std::ostream& out) const {
@@ -3027,58 +3258,58 @@
   swap(a.__isset, b.__isset);
 }
 
-mesh_frame::mesh_frame(const mesh_frame& other75) {
-  state = other75.state;
-  run = other75.run;
-  answer = other75.answer;
-  cancel = other75.cancel;
-  rows = other75.rows;
-  pull = other75.pull;
-  report = other75.report;
-  share = other75.share;
-  crash = other75.crash;
-  ping = other75.ping;
-  __isset = other75.__isset;
-}
-mesh_frame::mesh_frame(mesh_frame&& other76) noexcept {
-  state = std::move(other76.state);
-  run = std::move(other76.run);
-  answer = std::move(other76.answer);
-  cancel = std::move(other76.cancel);
-  rows = std::move(other76.rows);
-  pull = std::move(other76.pull);
-  report = std::move(other76.report);
-  share = std::move(other76.share);
-  crash = std::move(other76.crash);
-  ping = other76.ping;
-  __isset = other76.__isset;
-}
-mesh_frame& mesh_frame::operator=(const mesh_frame& other77) {
-  state = other77.state;
-  run = other77.run;
-  answer = other77.answer;
-  cancel = other77.cancel;
-  rows = other77.rows;
-  pull = other77.pull;
-  report = other77.report;
-  share = other77.share;
-  crash = other77.crash;
-  ping = other77.ping;
-  __isset = other77.__isset;
+mesh_frame::mesh_frame(const mesh_frame& other85) {
+  state = other85.state;
+  run = other85.run;
+  answer = other85.answer;
+  cancel = other85.cancel;
+  rows = other85.rows;
+  pull = other85.pull;
+  report = other85.report;
+  share = other85.share;
+  crash = other85.crash;
+  ping = other85.ping;
+  __isset = other85.__isset;
+}
+mesh_frame::mesh_frame(mesh_frame&& other86) noexcept {
+  state = std::move(other86.state);
+  run = std::move(other86.run);
+  answer = std::move(other86.answer);
+  cancel = std::move(other86.cancel);
+  rows = std::move(other86.rows);
+  pull = std::move(other86.pull);
+  report = std::move(other86.report);
+  share = std::move(other86.share);
+  crash = std::move(other86.crash);
+  ping = other86.ping;
+  __isset = other86.__isset;
+}
+mesh_frame& mesh_frame::operator=(const mesh_frame& other87) {
+  state = other87.state;
+  run = other87.run;
+  answer = other87.answer;
+  cancel = other87.cancel;
+  rows = other87.rows;
+  pull = other87.pull;
+  report = other87.report;
+  share = other87.share;
+  crash = other87.crash;
+  ping = other87.ping;
+  __isset = other87.__isset;
   return *this;
 }
-mesh_frame& mesh_frame::operator=(mesh_frame&& other78) noexcept {
-  state = std::move(other78.state);
-  run = std::move(other78.run);
-  answer = std::move(other78.answer);
-  cancel = std::move(other78.cancel);
-  rows = std::move(other78.rows);
-  pull = std::move(other78.pull);
-  report = std::move(other78.report);
-  share = std::move(other78.share);
-  crash = std::move(other78.crash);
-  ping = other78.ping;
-  __isset = other78.__isset;
+mesh_frame& mesh_frame::operator=(mesh_frame&& other88) noexcept {
+  state = std::move(other88.state);
+  run = std::move(other88.run);
+  answer = std::move(other88.answer);
+  cancel = std::move(other88.cancel);
+  rows = std::move(other88.rows);
+  pull = std::move(other88.pull);
+  report = std::move(other88.report);
+  share = std::move(other88.share);
+  crash = std::move(other88.crash);
+  ping = other88.ping;
+  __isset = other88.__isset;
   return *this;
 }
 void mesh_frame::printTo(std::ostream& out) const {
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -50,6 +50,8 @@
 
 class node_state;
 
+class document_part;
+
 class operator_row;
 
 class rows_push;
@@ -670,12 +672,74 @@
 
 std::ostream& operator<<(std::ostream& out, const node_state& obj);
 
+typedef struct _document_part__isset {
+  _document_part__isset() : first(false), count(false), literal(false) {}
+  bool first :1;
+  bool count :1;
+  bool literal :1;
+} _document_part__isset;
+
+class document_part : public virtual ::apache::thrift::TBase {
+ public:
+
+  document_part(const document_part&);
+  document_part(document_part&&) noexcept;
+  document_part& operator=(const document_part&);
+  document_part& operator=(document_part&&) noexcept;
+  document_part() noexcept
+                : first(0),
+                  count(0),
+                  literal() {
+  }
+
+  virtual ~document_part() noexcept;
+  int32_t first;
+  int32_t count;
+  std::string literal;
+
+  _document_part__isset __isset;
+
+  void __set_first(const int32_t val);
+
+  void __set_count(const int32_t val);
+
+  void __set_literal(const std::string& val);
+
+  bool operator == (const document_part & rhs) const
+  {
+    if (!(first == rhs.first))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(literal == rhs.literal))
+      return false;
+    return true;
+  }
+  bool operator != (const document_part &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const document_part & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(document_part &a, document_part &b);
+
+std::ostream& operator<<(std::ostream& out, const document_part& obj);
+
 typedef struct _operator_row__isset {
-  _operator_row__isset() : key(false), row_version(false), document(false), removed(false) {}
+  _operator_row__isset() : key(false), row_version(false), document(false), removed(false), base_version(false), parts(false), digest(false) {}
   bool key :1;
   bool row_version :1;
   bool document :1;
   bool removed :1;
+  bool base_version :1;
+  bool parts :1;
+  bool digest :1;
 } _operator_row__isset;
 
 class operator_row : public virtual ::apache::thrift::TBase {
@@ -689,7 +753,9 @@
                : key(),
                  row_version(0),
                  document(),
-                 removed(0) {
+                 removed(0),
+                 base_version(0),
+                 digest(0) {
   }
 
   virtual ~operator_row() noexcept;
@@ -697,6 +763,9 @@
   int64_t row_version;
   std::string document;
   bool removed;
+  int64_t base_version;
+  std::vector<document_part>  parts;
+  int64_t digest;
 
   _operator_row__isset __isset;
 
@@ -708,6 +777,12 @@
 
   void __set_removed(const bool val);
 
+  void __set_base_version(const int64_t val);
+
+  void __set_parts(const std::vector<document_part> & val);
+
+  void __set_digest(const int64_t val);
+
   bool operator == (const operator_row & rhs) const
   {
     if (!(key == rhs.key))
@@ -718,6 +793,12 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (!(base_version == rhs.base_version))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
     return true;
   }
   bool operator != (const operator_row &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -97,13 +97,25 @@
   7: bool store_fresh
 }
 
+// Pieces [first, first + count) of the base document, then the literal bytes.
+struct document_part {
+  1: i32 first
+  2: i32 count
+  3: binary literal
+}
+
 // An operator's row, passed on as it stands in the store.
 struct operator_row {
   1: string key
   2: i64 row_version
-  // Compressed document; empty for a deleted row.
+  // Empty for a deleted row, and where `parts` tell the difference.
   3: binary document
   4: bool removed
+  // Version of the row that `parts` refer to; 0 when `document` is whole.
+  5: i64 base_version
+  6: list<document_part> parts
+  // Hash of the whole document that `parts` give.
+  7: i64 digest
 }
 
 struct rows_push {
