--- a/src/build-scripts/run-tests.bash
+++ b/src/build-scripts/run-tests.bash
@@ -62,6 +62,7 @@
 build release
 check format src/build-scripts/check-format.bash
 check lint src/build-scripts/check-lint.bash
+check deploy src/build-scripts/check-deploy.bash
 run_ctest release
 build asan --target core_tests
 run_ctest asan -L core
