Remember goodbyes, wait for the last connections, hold back suspect releases

Ruled out: ignoring every check-in after a goodbye: a later life may come under the same id. Change: goodbyes are remembered for drain timeout and grace period; a stopping node refuses what comes late and waits for open connections; a release with many more failures than the old one gets no higher share.

--- a/src/libmesh/gross_fault.cpp
+++ b/src/libmesh/gross_fault.cpp
@@ -22,6 +22,11 @@
 constexpr double slow_quantile = 0.75;
 /// Backend servers of one release differ in speed by up to this factor.
 constexpr int speed_spread = 3;
+/// A release is suspect with so many failures, and a ratio above the old one's times the factor and
+/// the margin.
+constexpr double suspect_failures = 3;
+constexpr double suspect_factor = 2;
+constexpr double suspect_margin = 0.05;
 
 } // namespace
 
@@ -59,4 +64,13 @@
     return std::nullopt;
 }
 
+bool is_suspect(const recent_outcomes& old_side, const recent_outcomes& new_side)
+{
+    if (new_side.bad < suspect_failures) {
+        return false;
+    }
+    const double usual = old_side.total() > 0 ? old_side.bad / old_side.total() : 0;
+    return new_side.bad / new_side.total() > usual * suspect_factor + suspect_margin;
+}
+
 } // namespace camphor::mesh
--- a/src/libmesh/gross_fault.h
+++ b/src/libmesh/gross_fault.h
@@ -26,4 +26,8 @@
 std::optional<std::string> find_gross_fault(const recent_outcomes& old_side,
                                             const recent_outcomes& new_side);
 
+/// Whether the new release failed so often, over all its requests, that it should not get more
+/// traffic without further proof.
+bool is_suspect(const recent_outcomes& old_side, const recent_outcomes& new_side);
+
 } // namespace camphor::mesh
--- a/src/libmesh/gross_fault_test.cpp
+++ b/src/libmesh/gross_fault_test.cpp
@@ -73,3 +73,28 @@
     BOOST_TEST(find_gross_fault(outcomes(item.old_side), outcomes(item.new_side)).has_value() ==
                item.expected);
 }
+
+struct suspect_case {
+    const char* name;
+    release old_side;
+    release new_side;
+    bool expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const suspect_case& item)
+{
+    return out << item.name;
+}
+
+const std::vector<suspect_case> suspect_cases{
+    {"an eighth fails where one in a hundred did", {765, 0.01}, {41, 0.122}, true},
+    {"both fail alike", {900, 0.13}, {60, 0.15}, false},
+    {"two failures of forty", {765, 0.01}, {40, 0.05}, false},
+    {"sound", {765, 0.01}, {200, 0.01}, false},
+    {"nothing seen", {765, 0.01}, {0}, false},
+};
+
+BOOST_DATA_TEST_CASE(suspects_what_fails_more, boost::unit_test::data::make(suspect_cases), item)
+{
+    BOOST_TEST(is_suspect(outcomes(item.old_side), outcomes(item.new_side)) == item.expected);
+}
--- a/src/libmesh/mesh_load_test.cpp
+++ b/src/libmesh/mesh_load_test.cpp
@@ -301,6 +301,37 @@
     BOOST_TEST(!net.core(0).own_backend()->takes_work());
 }
 
+BOOST_AUTO_TEST_CASE(a_goodbye_outlasts_check_ins_that_were_delayed)
+{
+    // A node that has just started hears the goodbye first.
+    test_net net(nodes);
+    net.configure(true);
+    net.say_goodbye(0);
+    net.run_for(1500ms);
+    net.check_in(0);
+    BOOST_TEST((!net.core(0).own_backend() || !net.core(0).own_backend()->takes_work()));
+    net.send(0, "g");
+    net.run_for(1s);
+    BOOST_TEST(net.app(0).after_leaving == 0);
+    // A later start under the same id comes well after.
+    net.run_for(10s);
+    net.check_in(0);
+    BOOST_TEST(net.core(0).own_backend()->takes_work());
+}
+
+BOOST_AUTO_TEST_CASE(answers_what_comes_once_it_may_stop)
+{
+    test_net net(nodes);
+    net.configure(true);
+    check_in_all(net);
+    net.stop(0);
+    net.run_for(3s);
+    net.send(0, "late");
+    net.run_for(100ms);
+    BOOST_TEST(net.results().at("late").status == 503);
+    BOOST_TEST(net.runs("late") == 0);
+}
+
 struct rollout_case {
     const char* name;
     std::function<void(test_app&)> fault;
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -203,6 +203,7 @@
     void refuse_waiting(const std::string& reason);
     void cancel_run(const run_origin& origin);
     void start_waiting();
+    bool has_left(const backend_checked_in& happened);
     void note_outcome(bool failed);
     void note_release(const run_state& run, bool good);
     void retire_backend(backend_state state, const std::string& reason);
@@ -270,6 +271,9 @@
 
     std::optional<backend> own_;
     std::int64_t own_sequence_ = 0;
+    /// Backend servers that said goodbye to this life of the node, and when. A check-in that was
+    /// delayed must not bring one back.
+    std::map<backend_id, time_point> left_;
     slot_queue queue_;
     std::map<run_id, run_state> runs_;
     std::uint64_t last_run_ = 0;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -80,6 +80,10 @@
         }
         out_.emplace_back(deliver_refusal{happened.call, status, reason, retry_after});
     };
+    if (told_stopped_) {
+        refuse_early(503, "stopping");
+        return;
+    }
     if (!config_) {
         refuse_early(503, "no_configuration");
         return;
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -233,8 +233,25 @@
     runs_.erase(found);
 }
 
+bool node::has_left(const backend_checked_in& happened)
+{
+    // It serves for the drain timeout, and its late messages travel for seconds; a later life under
+    // the same id comes after that.
+    const auto memory = settings_.bounds.drain_timeout + settings_.bounds.grace_period;
+    std::erase_if(left_, [&](const auto& entry) { return now_ - entry.second > memory; });
+    const bool later_life = own_ && own_->id == happened.id && happened.born > own_->born;
+    return left_.contains(happened.id) && !later_life;
+}
+
 void node::take(const backend_checked_in& happened)
 {
+    if (has_left(happened)) {
+        log(log_level::info, "backend.old_check_in", "",
+            {{"backend", happened.id.value()},
+             {"sequence", std::to_string(happened.sequence)},
+             {"reason", "it left"}});
+        return;
+    }
     if (own_ && std::make_pair(happened.born, happened.sequence) <=
                     std::make_pair(own_->born, own_sequence_)) {
         log(log_level::info, "backend.old_check_in", "",
@@ -276,6 +293,7 @@
 
 void node::take(const backend_left& happened)
 {
+    left_[happened.id] = now_;
     if (own_ && own_->id == happened.id) {
         retire_backend(backend_state::gone, "it left");
     }
@@ -283,7 +301,9 @@
 
 void node::retire_backend(backend_state state, const std::string& reason)
 {
-    if (!own_ || own_->state == state) {
+    const bool leaving =
+        own_ && (own_->state == backend_state::draining || own_->state == backend_state::gone);
+    if (!own_ || own_->state == state || (leaving && state == backend_state::unreachable)) {
         return;
     }
     own_->state = state;
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -183,6 +183,8 @@
         auto& side = is_new ? known->second.new_side : known->second.old_side;
         route_side.add(item.good, item.bad, seen.latency);
         side.add(item.good, item.bad, seen.latency);
+        auto& total = is_new ? known->second.new_total : known->second.old_total;
+        total.add(item.good, item.bad, seen.latency);
     }
 }
 
@@ -323,6 +325,13 @@
         decided.action = move_action::revert;
         decided.reason = *fault;
     }
+    const bool raises = decided.action == move_action::complete ||
+                        (decided.action == move_action::set_share && decided.share > view.share);
+    const auto& seen = policies_.at(view.order.service);
+    if (raises && is_suspect(seen.old_total, seen.new_total)) {
+        decided.action = move_action::revert;
+        decided.reason = "it failed too often to get more traffic on this evidence";
+    }
     if (decided.action == move_action::hold) {
         return;
     }
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -86,6 +86,9 @@
         std::unique_ptr<move_policy> policy;
         recent_outcomes old_side;
         recent_outcomes new_side;
+        /// Since the order, without decay.
+        recent_outcomes old_total;
+        recent_outcomes new_total;
         /// By route: a fault may show on one only.
         std::map<std::string, std::pair<recent_outcomes, recent_outcomes>> by_route;
     };
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -110,6 +110,13 @@
         feed(*hosts_.at(i), seen);
     }
 
+    /// The backend server says goodbye without draining.
+    void say_goodbye(std::size_t i)
+    {
+        hosts_.at(i)->app.leaving = true;
+        feed(*hosts_.at(i), backend_left{hosts_.at(i)->app.id});
+    }
+
     /// A client beside node `i` sends a request.
     void send(std::size_t i, const std::string& id, milliseconds patience = 2000ms)
     {
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -27,6 +27,11 @@
 
 namespace {
 
+/// A stopping process stays so long at most for connections that still carry something, and looks
+/// so often whether one does; within the margin that the decisions keep of the grace period.
+constexpr auto longest_goodbye = 500ms;
+constexpr auto goodbye_check = 100ms;
+
 time_point monotonic_now()
 {
     return time_point(std::chrono::steady_clock::now().time_since_epoch());
@@ -197,6 +202,9 @@
 
 void sidecar::arm()
 {
+    if (leaving_) {
+        return;
+    }
     const auto now = monotonic_now();
     const auto due = node_.next_due(now);
     if (armed_for_ > now && armed_for_ <= due) {
@@ -304,6 +312,7 @@
 
 void sidecar::stop()
 {
+    leaving_ = true;
     store_.stop();
     outbound_.close();
     inbound_.close();
@@ -312,10 +321,23 @@
     metrics_.close();
     outbound_.close_idle();
     inbound_.close_idle();
-    // Answers under way still leave; then the process ends.
+    end_when_quiet(std::chrono::steady_clock::now() + longest_goodbye);
+}
+
+void sidecar::end_when_quiet(std::chrono::steady_clock::time_point at_the_latest)
+{
+    // Requests that were on their way are still answered; their connections close behind the
+    // answer.
     timer_.cancel();
-    timer_.expires_after(300ms);
-    timer_.async_wait([this](error_code) {
+    timer_.expires_after(goodbye_check);
+    timer_.async_wait([this, at_the_latest](error_code) {
+        outbound_.close_idle();
+        inbound_.close_idle();
+        const bool quiet = outbound_.connections() == 0 && inbound_.connections() == 0;
+        if (!quiet && std::chrono::steady_clock::now() < at_the_latest) {
+            end_when_quiet(at_the_latest);
+            return;
+        }
         peers_.close_all();
         io_.stop();
     });
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -46,6 +46,7 @@
                      const http_request& message);
     void watch_signals();
     void stop();
+    void end_when_quiet(std::chrono::steady_clock::time_point at_the_latest);
     void write_log(const mesh::log_line& line);
     std::string render_metrics() const;
 
@@ -82,6 +83,8 @@
     std::unordered_map<std::uint64_t, std::weak_ptr<http_connection>> clients_;
     std::deque<mesh::event> events_;
     bool draining_events_ = false;
+    /// The timer waits for the end of the last connections.
+    bool leaving_ = false;
     time_point armed_for_{};
     mesh::mesh_config_ptr limits_from_;
 };
