Drop state of peers and links that nothing reads

Cause: times of the last frames of a link, requests in flight at a peer and a flag for its first report were written and never read. Ruled out: dropping the memory limit of the settings too, whose reading also checks the file.

--- a/src/libmesh/directory.cpp
+++ b/src/libmesh/directory.cpp
@@ -43,7 +43,6 @@
     }
     item.record = record;
     item.revision = 0;
-    item.reported = false;
     item.failed_dials = 0;
     item.next_dial = {};
     if (!first) {
--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -41,8 +41,6 @@
     time_point reported_at{};
     /// Requests sent since the report.
     int sent_since = 0;
-    /// Requests of this node that are not over.
-    int in_flight = 0;
     /// It named a wait for a free slot that lasts until then.
     time_point full_until{};
     /// It had no place in its queue either; room there is not expected before.
@@ -61,7 +59,6 @@
     /// Revision of the last report of this life.
     std::int64_t revision = 0;
     bool stopping = false;
-    bool reported = false;
     std::optional<backend> app;
     room space;
     std::int64_t config_version = 0;
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -138,8 +138,6 @@
     struct link_state {
         std::optional<node_id> peer;
         bool dialled = false;
-        time_point last_sent{};
-        time_point last_received{};
     };
 
     // node.cpp
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -324,7 +324,6 @@
     }
     auto* owner = peers_.find(to.node);
     owner->asked_at = owner->asked_at.value_or(now_);
-    ++owner->space.in_flight;
     ++owner->space.sent_since;
     wanted.__set_method(call.content->method);
     wanted.__set_target(call.content->target);
@@ -635,7 +634,6 @@
         }
         auto* owner = peers_.find(item.owner);
         if (owner != nullptr && owner->link) {
-            owner->space.in_flight = std::max(0, owner->space.in_flight - 1);
             mesh_wire::cancel_run order;
             order.__set_call(static_cast<std::int64_t>(item.id.value()));
             mesh_wire::mesh_frame frame;
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -107,7 +107,6 @@
     auto& link = links_[happened.link];
     link.peer = happened.dialled;
     link.dialled = happened.dialled.has_value();
-    link.last_received = now_;
     if (!happened.dialled) {
         return;
     }
@@ -154,7 +153,6 @@
     lost.dialling = false;
     lost.next_dial = now_ + first_redial * (1 << std::min(lost.failed_dials, most_doublings));
     ++lost.failed_dials;
-    lost.space.in_flight = 0;
     if (!lost.lost_at) {
         lost.lost_at = now_;
     }
@@ -185,7 +183,6 @@
     if (known == links_.end()) {
         return;
     }
-    known->second.last_sent = now_;
     out_.emplace_back(send_to_peer{link, std::move(frame)});
 }
 
@@ -224,7 +221,6 @@
     if (known == links_.end()) {
         return;
     }
-    known->second.last_received = now_;
     if (auto* from = known->second.peer ? peers_.find(*known->second.peer) : nullptr) {
         from->heard_at = now_;
         from->asked_at.reset();
@@ -367,7 +363,6 @@
     }
     from.heard_at = now_;
     from.revision = state.revision;
-    from.reported = true;
     from.stopping = state.stopping;
     from.config_version = state.config_version;
     from.store_fresh = state.store_fresh;
@@ -410,7 +405,6 @@
     if (from != nullptr) {
         const auto* way = known == attempts_.end() ? nullptr : &calls_.at(known->second).way->name;
         if (way != nullptr) {
-            from->space.in_flight = std::max(0, from->space.in_flight - 1);
             update_room(*from, frame.load, way);
         }
     }
