--- a/src/build-scripts/check-deploy.bash
+++ b/src/build-scripts/check-deploy.bash
@@ -3,6 +3,8 @@
 # stand-ins.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
+# The stand-in is not part of what the deploy file builds.
+store=$PWD/build/release/bin/standin_platform
 checkout=$(mktemp -d)
 trap 'rm -rf "$checkout"' EXIT
 git ls-files -z --cached --others --exclude-standard -- . ':!journal' |
@@ -10,4 +12,4 @@
 cd "$checkout"
 command=$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/system.toml", "rb"))["build"])')
 bash -c "$command" >build.log 2>&1 || { tail -30 build.log; exit 1; }
-python3 testsuite/sidecar/run.py target/bin/camphord
+python3 testsuite/sidecar/run.py target/bin/camphord "$store"
--- a/src/include/camphortally/snapshot_compactor.h
+++ b/src/include/camphortally/snapshot_compactor.h
@@ -9,8 +9,8 @@
 
 struct step_context;
 
-/// Invariant: a change is deleted only in the transaction that names a stored snapshot holding it,
-/// and only if no other node moved the snapshot's head meanwhile.
+/// Invariant: a change is deleted only while the snapshot's head names a stored snapshot that holds
+/// it. What a node that ended midway left is deleted after the next compaction.
 class snapshot_compactor {
 public:
     void start(step_context& context);
@@ -21,6 +21,8 @@
 private:
     void on_head(step_context& context, const platform_reply& reply);
     void mark(step_context& context);
+    void scan(step_context& context);
+    void remove(step_context& context, const platform_reply& reply);
     void request(step_context& context, std::int32_t kind, platform_request request);
 
     /// Snapshot being written.
--- a/src/libcamphor/claims.cpp
+++ b/src/libcamphor/claims.cpp
@@ -17,8 +17,8 @@
 enum request_kind : std::int32_t { transaction, row_read };
 enum timer_kind : std::int32_t { next_batch, give_up_check };
 
-/// Rows written by one transaction.
-constexpr std::size_t batch_rows = 256;
+/// Rows written by one transaction; the platform takes 100 entries, a condition and a write a row.
+constexpr std::size_t batch_rows = 50;
 /// Transactions of all nodes together leave the table room for others.
 constexpr duration fleet_spacing = 4ms;
 constexpr duration longest_spacing = 250ms;
--- a/src/libcamphor/distribution_timers.h
+++ b/src/libcamphor/distribution_timers.h
@@ -23,6 +23,8 @@
     compaction_head,
     compaction_object,
     compaction_mark,
+    compaction_scan,
+    compaction_remove,
 };
 
 inline timer_key timer_of(distribution_timer kind)
--- a/src/libcamphor/snapshot_compactor.cpp
+++ b/src/libcamphor/snapshot_compactor.cpp
@@ -19,6 +19,9 @@
 constexpr std::int64_t compaction_threshold = 512;
 /// Newest changes that stay in the log, so that a node a little behind needs no snapshot.
 constexpr std::int64_t kept_changes = 256;
+const std::string change_prefix = "change/";
+/// The platform takes 100 entries in a transaction; one is the condition.
+constexpr std::int32_t rows_removed_at_once = 99;
 
 /// One node of the mesh compacts: two that disagree are kept apart by the transaction.
 bool has_duty(const step_context& context)
@@ -69,10 +72,16 @@
     case distribution_request::compaction_object:
         mark(context);
         break;
-    default:
+    case distribution_request::compaction_mark:
         compacted_ = candidate_->version();
         context.log(log_level::info, "config.compacted", std::to_string(compacted_.value()));
-        candidate_.reset();
+        scan(context);
+        break;
+    case distribution_request::compaction_scan:
+        remove(context, reply);
+        break;
+    default:
+        scan(context);
         break;
     }
 }
@@ -96,13 +105,32 @@
         {snapshot_head_key, compacted_.value() == 0 ? std::nullopt : std::optional(old)});
     transaction.writes.push_back(
         {snapshot_head_key, std::to_string(candidate_->version().value())});
-    const auto first = std::max<std::int64_t>(1, compacted_.value() - kept_changes + 1);
-    const auto last = candidate_->version().value() - kept_changes;
-    for (auto version = first; version <= last; ++version) {
-        transaction.writes.push_back({change_key(config_version{version}), std::nullopt});
-    }
     request(context, static_cast<std::int32_t>(distribution_request::compaction_mark),
             std::move(transaction));
 }
 
+void snapshot_compactor::scan(step_context& context)
+{
+    request(context, static_cast<std::int32_t>(distribution_request::compaction_scan),
+            table_scan{change_prefix, "", rows_removed_at_once});
+}
+
+void snapshot_compactor::remove(step_context& context, const platform_reply& reply)
+{
+    table_transact transaction;
+    const auto first_kept = change_key(config_version{compacted_.value() - kept_changes + 1});
+    transaction.conditions.push_back({snapshot_head_key, std::to_string(compacted_.value())});
+    for (const auto& row : reply.rows) {
+        if (row.key < first_kept) {
+            transaction.writes.push_back({row.key, std::nullopt});
+        }
+    }
+    if (transaction.writes.empty()) {
+        candidate_.reset();
+        return;
+    }
+    request(context, static_cast<std::int32_t>(distribution_request::compaction_remove),
+            std::move(transaction));
+}
+
 } // namespace camphor
--- a/src/libmesh/mesh_settings.h
+++ b/src/libmesh/mesh_settings.h
@@ -14,6 +14,8 @@
 struct listen_address {
     std::string host;
     std::uint16_t port = 0;
+
+    bool operator==(const listen_address&) const = default;
 };
 
 /// Limits that the operators of the mesh set for all nodes.
--- a/src/libshell/platform_http.cpp
+++ b/src/libshell/platform_http.cpp
@@ -1,364 +1,339 @@
-// The platform's table and object store over HTTP, by Boost.Beast.
-#include <utility>
-
-#include <boost/asio.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
+// The table and object store on the rows and objects of the platform's store.
 #include "libshell/platform_http.h"
-#include "libshell/url.h"
 
-#include <nlohmann/json.hpp>
+#include "libshell/store_client.h"
 
-#include <deque>
-#include <memory>
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace camphor::shell {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using asio::ip::tcp;
-using boost::system::error_code;
-using nlohmann::json;
-
 namespace {
 
 constexpr std::size_t connection_count = 8;
-/// Requests waiting for a connection; one more is answered `unavailable` at once.
-constexpr std::size_t queue_limit = 1'024;
-constexpr std::uint64_t answer_limit_bytes = 64ULL * 1024 * 1024;
-
-using http_request = http::request<http::string_body>;
-using http_response = http::response<http::string_body>;
-
-struct wire_request {
-    http_request message;
-    bool is_write = false;
-};
-
-wire_request make(http::verb verb, const std::string& target, std::string body, bool is_write)
-{
-    wire_request out;
-    out.message = {verb, target, 11};
-    out.message.body() = std::move(body);
-    out.is_write = is_write;
-    return out;
-}
-
-wire_request encode(const table_read& request)
-{
-    return make(http::verb::get, "/v1/rows/" + percent_encode(request.key), "", false);
-}
-
-wire_request encode(const table_scan& request)
-{
-    const auto target = "/v1/rows?prefix=" + percent_encode(request.prefix) +
-                        "&after=" + percent_encode(request.after) +
-                        "&limit=" + std::to_string(request.limit);
-    return make(http::verb::get, target, "", false);
-}
-
-json optional_text(const std::optional<std::string>& text)
-{
-    return text ? json(*text) : json(nullptr);
-}
-
-wire_request encode(const table_transact& request)
+/// Rows whose versions are remembered. Each takes about 200 bytes beside its value; when there are
+/// more, all are forgotten and read again as needed.
+constexpr std::size_t most_known_rows = 20'000;
+/// A transaction is sent again when rows were written anew with the same values, so often at most.
+constexpr int most_attempts = 3;
+
+/// Smallest key behind all keys that start with `prefix`; empty when there is none.
+std::string end_of_prefix(std::string prefix)
 {
-    json conditions = json::array();
-    for (const auto& item : request.conditions) {
-        conditions.push_back({{"key", item.key}, {"expected", optional_text(item.expected)}});
+    constexpr auto highest_byte = '\xff';
+    while (!prefix.empty() && prefix.back() == highest_byte) {
+        prefix.pop_back();
     }
-    json writes = json::array();
-    for (const auto& item : request.writes) {
-        writes.push_back({{"key", item.key}, {"value", optional_text(item.value)}});
+    if (!prefix.empty()) {
+        prefix.back() = static_cast<char>(static_cast<unsigned char>(prefix.back()) + 1);
     }
-    const json body{{"conditions", conditions}, {"writes", writes}};
-    return make(http::verb::post, "/v1/transact", body.dump(), true);
+    return prefix;
 }
 
-wire_request encode(const object_get& request)
+bool is_write(const platform_request& request)
 {
-    return make(http::verb::get, "/v1/objects/" + percent_encode(request.name), "", false);
+    return std::holds_alternative<table_transact>(request) ||
+           std::holds_alternative<object_put>(request);
 }
 
-wire_request encode(const object_put& request)
+/// Status of a call that the store did not carry out, or of which that is not known.
+platform_status status_of_failure(const store_reply& reply, bool writes)
 {
-    return make(http::verb::put, "/v1/objects/" + percent_encode(request.name), request.body, true);
-}
-
-void read_rows(const json& document, platform_reply& reply)
-{
-    for (const auto& row : document.at("rows")) {
-        reply.rows.push_back({row.at("key"), row.at("value")});
-    }
-}
-
-platform_reply decode(const platform_request& request, const http_response& answer)
-{
-    platform_reply reply;
-    if (answer.result() == http::status::conflict) {
-        reply.status = platform_status::conflict;
-        reply.failed_keys = json::parse(answer.body()).at("failed_keys");
-        return reply;
-    }
-    if (answer.result() == http::status::not_found) {
-        reply.status = platform_status::not_found;
-        return reply;
-    }
-    if (answer.result() != http::status::ok) {
-        reply.status = platform_status::unavailable;
-        return reply;
-    }
-    reply.status = platform_status::ok;
-    if (std::holds_alternative<object_get>(request)) {
-        reply.body = answer.body();
-    } else if (std::holds_alternative<table_read>(request) ||
-               std::holds_alternative<table_scan>(request)) {
-        read_rows(json::parse(answer.body()), reply);
-    }
-    return reply;
-}
-
-platform_reply failed(platform_status status)
-{
-    platform_reply reply;
-    reply.status = status;
-    return reply;
+    const bool unknown =
+        writes && reply.was_sent && (reply.status == 0 || reply.status == store_ok);
+    return unknown ? platform_status::outcome_unknown : platform_status::unavailable;
 }
 
 } // namespace
 
 class platform_http::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(asio::io_context& context, platform_settings given)
-        : io(context), settings(std::move(given))
+    implementation(boost::asio::io_context& io, const platform_settings& settings)
+        : client_(io, {settings.host, settings.port}, connection_count), timeout_(settings.timeout)
     {
     }
 
-    struct job {
+    /// A request under way.
+    struct operation {
         platform_request request;
         reply_function done;
+        platform_reply reply;
+        int attempts = 0;
     };
+    using operation_ptr = std::shared_ptr<operation>;
 
-    class connection;
+    void start(const platform_request& request, reply_function done)
+    {
+        auto item = std::make_shared<operation>();
+        item->request = request;
+        item->done = std::move(done);
+        std::visit([&](const auto& order) { run(item, order); }, item->request);
+    }
 
-    void call(const platform_request& request, reply_function done);
-    void finish(const job& item, const platform_reply& reply);
-    /// Gives the next waiting job to an idle connection.
-    void next(const std::shared_ptr<connection>& idle);
+    platform_traffic traffic() const
+    {
+        auto out = traffic_;
+        out.bytes = byte_count{client_.counters().bytes};
+        return out;
+    }
 
-    asio::io_context& io;
-    platform_settings settings;
-    platform_traffic traffic;
-    std::deque<job> waiting;
-    std::vector<std::shared_ptr<connection>> idle_connections;
-    std::size_t connections = 0;
-    bool closed = false;
-};
+private:
+    struct known_row {
+        std::string value;
+        std::int64_t version = 0;
+    };
 
-/// One kept connection; runs one request at a time.
-class platform_http::implementation::connection : public std::enable_shared_from_this<connection> {
-public:
-    explicit connection(std::shared_ptr<implementation> owner)
-        : owner_(std::move(owner)), stream_(owner_->io)
+    /// Sends a call; `next` gets each answer, and decodes it or throws bad_store_answer.
+    template <typename Next>
+    void send(const operation_ptr& item, const platform::store_call& call, bool writes, Next next)
     {
+        client_.call(call, timeout_,
+                     [weak = weak_from_this(), item, writes, next](const store_reply& reply) {
+                         const auto self = weak.lock();
+                         if (!self) {
+                             return;
+                         }
+                         try {
+                             next(*self, reply);
+                         } catch (const platform::bad_store_answer&) {
+                             self->finish(item, status_of_failure({0, "", "", true}, writes));
+                         }
+                     });
     }
 
-    void run(job item)
+    /// Reads one row; `next` gets its value, none when it does not exist.
+    void read_row(const operation_ptr& item, const std::string& key,
+                  const std::function<void(std::optional<std::string>)>& next)
     {
-        job_ = std::move(item);
-        auto encoded =
-            std::visit([](const auto& request) { return encode(request); }, job_.request);
-        is_write_ = encoded.is_write;
-        request_ = std::move(encoded.message);
-        request_.set(http::field::host, owner_->settings.host);
-        request_.prepare_payload();
-        was_sent_ = false;
-        stream_.expires_after(owner_->settings.timeout);
-        if (stream_.socket().is_open()) {
-            write();
-        } else {
-            connect();
-        }
+        const platform::row_range range{key, "", 1};
+        send(item, platform::read_table(platform::resource_table, range), false,
+             [item, key, next](implementation& self, const store_reply& reply) {
+                 if (reply.status != store_ok) {
+                     self.finish(item, platform_status::unavailable);
+                     return;
+                 }
+                 std::optional<std::string> held;
+                 for (const auto& row : platform::read_rows(reply.body).rows) {
+                     if (row.key == key) {
+                         self.remember(row);
+                         held = row.value;
+                     }
+                 }
+                 next(std::move(held));
+             });
     }
 
-private:
-    void connect()
+    void run(const operation_ptr& item, const table_read& order)
     {
-        error_code bad_address;
-        const auto host = asio::ip::make_address(owner_->settings.host, bad_address);
-        if (bad_address) {
-            fail();
-            return;
-        }
-        stream_.async_connect(tcp::endpoint(host, owner_->settings.port),
-                              [self = shared_from_this()](error_code error) {
-                                  if (error) {
-                                      self->fail();
-                                      return;
-                                  }
-                                  error_code ignored;
-                                  self->stream_.socket().set_option(tcp::no_delay(true), ignored);
-                                  self->write();
-                              });
+        read_row(item, order.key, [this, item, key = order.key](std::optional<std::string> held) {
+            if (held) {
+                item->reply.rows.push_back({key, std::move(*held)});
+            }
+            finish(item, platform_status::ok);
+        });
     }
 
-    void write()
+    void run(const operation_ptr& item, const table_scan& order)
     {
-        was_sent_ = true;
-        http::async_write(stream_, request_,
-                          [self = shared_from_this()](error_code error, std::size_t bytes) {
-                              self->count(bytes);
-                              if (error) {
-                                  self->fail();
-                              } else {
-                                  self->read();
-                              }
-                          });
+        scan_page(item, order, std::max(order.after, order.prefix));
     }
 
-    void read()
+    /// Asks for the rows from `from` on; the row `after` itself is not part of the answer.
+    void scan_page(const operation_ptr& item, const table_scan& order, const std::string& from)
     {
-        parser_.emplace();
-        parser_->body_limit(answer_limit_bytes);
-        http::async_read(stream_, buffer_, *parser_,
-                         [self = shared_from_this()](error_code error, std::size_t bytes) {
-                             self->count(bytes);
-                             if (error) {
-                                 self->fail();
-                             } else {
-                                 self->answered();
-                             }
-                         });
+        const auto wanted = static_cast<std::size_t>(order.limit) - item->reply.rows.size();
+        const platform::row_range range{from, end_of_prefix(order.prefix),
+                                        std::min(wanted + 1, platform::most_rows_per_read)};
+        send(item, platform::read_table(platform::resource_table, range), false,
+             [item, order](implementation& self, const store_reply& reply) {
+                 if (reply.status != store_ok) {
+                     self.finish(item, platform_status::unavailable);
+                     return;
+                 }
+                 const auto answer = platform::read_rows(reply.body);
+                 auto& rows = item->reply.rows;
+                 const auto limit = static_cast<std::size_t>(order.limit);
+                 const auto seen = rows.empty() ? order.after : rows.back().key;
+                 for (const auto& row : answer.rows) {
+                     const bool is_new = row.key > seen && row.key.starts_with(order.prefix);
+                     if (is_new && rows.size() < limit) {
+                         rows.push_back({row.key, row.value});
+                     }
+                 }
+                 const bool more = answer.truncated && rows.size() < limit &&
+                                   !answer.rows.empty() && answer.rows.back().key > seen;
+                 if (more) {
+                     self.scan_page(item, order, answer.rows.back().key);
+                 } else {
+                     self.finish(item, platform_status::ok);
+                 }
+             });
     }
 
-    void count(std::size_t bytes)
+    void run(const operation_ptr& item, const table_transact& order)
     {
-        auto& total = owner_->traffic.bytes;
-        total = byte_count{total.value() + bytes};
+        for (const auto& condition : order.conditions) {
+            const auto known = known_.find(condition.key);
+            // What is known may be old: before a conflict is told, the row decides.
+            if (condition.expected &&
+                (known == known_.end() || known->second.value != *condition.expected)) {
+                check_condition(item, condition);
+                return;
+            }
+        }
+        transact(item, order);
     }
 
-    void answered()
+    void check_condition(const operation_ptr& item, const table_condition& condition)
     {
-        const auto answer = parser_->release();
-        if (!answer.keep_alive()) {
-            close();
+        read_row(item, condition.key, [this, item, condition](std::optional<std::string> held) {
+            if (condition.expected != held) {
+                item->reply.failed_keys = {condition.key};
+                finish(item, platform_status::conflict);
+            } else {
+                run(item, std::get<table_transact>(item->request));
+            }
+        });
+    }
+
+    void transact(const operation_ptr& item, const table_transact& order)
+    {
+        std::vector<platform::row_condition> conditions;
+        for (const auto& condition : order.conditions) {
+            const auto version = condition.expected ? known_.at(condition.key).version : 0;
+            conditions.push_back({platform::resource_table, condition.key, version});
         }
-        platform_reply reply;
-        try {
-            reply = decode(job_.request, answer);
-        } catch (const json::exception&) {
-            reply = failed(lost_status());
+        std::vector<platform::row_write> writes;
+        for (const auto& write : order.writes) {
+            writes.push_back({platform::resource_table, write.key, write.value});
         }
-        done(reply);
+        ++item->attempts;
+        send(item, platform::write_rows(conditions, writes), true,
+             [item](implementation& self, const store_reply& reply) {
+                 self.on_transacted(item, reply);
+             });
     }
 
-    /// What a request that got no answer ends as.
-    platform_status lost_status() const
+    void on_transacted(const operation_ptr& item, const store_reply& reply)
     {
-        return is_write_ && was_sent_ ? platform_status::outcome_unknown
-                                      : platform_status::unavailable;
+        const auto& order = std::get<table_transact>(item->request);
+        if (reply.status == store_conflict) {
+            on_conflict(item, order, reply);
+            return;
+        }
+        if (reply.status != store_ok) {
+            for (const auto& write : order.writes) {
+                known_.erase(write.key);
+            }
+            finish(item, status_of_failure(reply, true));
+            return;
+        }
+        const auto version = platform::read_written_version(reply.body);
+        for (const auto& write : order.writes) {
+            known_.erase(write.key);
+            if (write.value && version > 0) {
+                remember({platform::resource_table, write.key, *write.value, version, false});
+            }
+        }
+        finish(item, platform_status::ok);
     }
 
-    void fail()
+    void on_conflict(const operation_ptr& item, const table_transact& order,
+                     const store_reply& reply)
     {
-        close();
-        done(failed(lost_status()));
+        std::map<std::string, std::string> held;
+        const auto rows = platform::read_rows(reply.body).rows;
+        for (const auto& condition : order.conditions) {
+            known_.erase(condition.key);
+        }
+        for (const auto& row : rows) {
+            held[row.key] = row.value;
+            remember(row);
+        }
+        for (const auto& condition : order.conditions) {
+            const auto found = held.find(condition.key);
+            const bool holds = condition.expected.has_value() == (found != held.end()) &&
+                               (!condition.expected || *condition.expected == found->second);
+            if (!holds) {
+                item->reply.failed_keys.push_back(condition.key);
+            }
+        }
+        if (item->reply.failed_keys.empty() && item->attempts < most_attempts) {
+            run(item, order);
+        } else if (item->reply.failed_keys.empty()) {
+            finish(item, platform_status::unavailable);
+        } else {
+            finish(item, platform_status::conflict);
+        }
     }
 
-    void close()
+    void run(const operation_ptr& item, const object_get& order)
     {
-        stream_.close();
-        buffer_.clear();
+        send(item, platform::read_object(order.name), false,
+             [item](implementation& self, const store_reply& reply) {
+                 if (reply.status == store_ok) {
+                     item->reply.body = reply.body;
+                     self.finish(item, platform_status::ok);
+                     return;
+                 }
+                 self.finish(item, reply.status == store_not_found ? platform_status::not_found
+                                                                   : platform_status::unavailable);
+             });
     }
 
-    void done(const platform_reply& reply)
+    void run(const operation_ptr& item, const object_put& order)
     {
-        const auto item = std::exchange(job_, {});
-        auto owner = owner_;
-        owner->next(shared_from_this());
-        owner->finish(item, reply);
+        send(item, platform::write_object(order.name, order.body), true,
+             [item](implementation& self, const store_reply& reply) {
+                 self.finish(item, reply.status == store_ok ? platform_status::ok
+                                                            : status_of_failure(reply, true));
+             });
     }
 
-    std::shared_ptr<implementation> owner_;
-    beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
-    http_request request_;
-    job job_;
-    bool is_write_ = false;
-    bool was_sent_ = false;
-};
-
-void platform_http::implementation::call(const platform_request& request, reply_function done)
-{
-    if (waiting.size() >= queue_limit) {
-        asio::post(io, [self = shared_from_this(), done = std::move(done), request] {
-            self->finish({request, done}, failed(platform_status::unavailable));
-        });
-        return;
-    }
-    waiting.push_back({request, std::move(done)});
-    if (!idle_connections.empty()) {
-        const auto idle = idle_connections.back();
-        idle_connections.pop_back();
-        next(idle);
-    } else if (connections < connection_count) {
-        ++connections;
-        next(std::make_shared<connection>(shared_from_this()));
+    void remember(const platform::store_row& row)
+    {
+        if (known_.size() >= most_known_rows) {
+            known_.clear();
+        }
+        known_[row.key] = {row.value, row.version};
     }
-}
 
-void platform_http::implementation::next(const std::shared_ptr<connection>& idle)
-{
-    if (closed) {
-        return;
-    }
-    if (waiting.empty()) {
-        idle_connections.push_back(idle);
-        return;
+    void finish(const operation_ptr& item, platform_status status)
+    {
+        item->reply.status = status;
+        ++(is_write(item->request) ? traffic_.writes : traffic_.reads);
+        const bool failed =
+            status == platform_status::unavailable || status == platform_status::outcome_unknown;
+        traffic_.failures += failed ? 1 : 0;
+        item->done(std::move(item->reply));
     }
-    auto item = std::move(waiting.front());
-    waiting.pop_front();
-    idle->run(std::move(item));
-}
 
-void platform_http::implementation::finish(const job& item, const platform_reply& reply)
-{
-    const bool is_write = std::holds_alternative<table_transact>(item.request) ||
-                          std::holds_alternative<object_put>(item.request);
-    ++(is_write ? traffic.writes : traffic.reads);
-    const bool is_failure = reply.status == platform_status::unavailable ||
-                            reply.status == platform_status::outcome_unknown;
-    traffic.failures += is_failure ? 1 : 0;
-    if (!closed) {
-        item.done(reply);
-    }
-}
+    store_client client_;
+    std::chrono::milliseconds timeout_;
+    platform_traffic traffic_;
+    /// Rows as they were last seen; a hint, since others write them too.
+    std::unordered_map<std::string, known_row> known_;
+};
 
-platform_http::platform_http(asio::io_context& io, platform_settings settings)
-    : self_(std::make_shared<implementation>(io, std::move(settings)))
+platform_http::platform_http(boost::asio::io_context& io, platform_settings settings)
+    : self_(std::make_shared<implementation>(io, settings))
 {
 }
 
-platform_http::~platform_http()
-{
-    self_->closed = true;
-    self_->waiting.clear();
-    self_->idle_connections.clear();
-}
+platform_http::~platform_http() = default;
 
 void platform_http::call(const platform_request& request, reply_function done)
 {
-    self_->call(request, std::move(done));
+    self_->start(request, std::move(done));
 }
 
-const platform_traffic& platform_http::traffic() const
+platform_traffic platform_http::traffic() const
 {
-    return self_->traffic;
+    return self_->traffic();
 }
 
 } // namespace camphor::shell
--- a/src/libshell/platform_http.h
+++ b/src/libshell/platform_http.h
@@ -1,4 +1,5 @@
-// The platform's table and object store over HTTP.
+// The table and object store that the resources are kept in, on the rows and objects of the
+// platform's store.
 #pragma once
 
 #include "libshell/event_sink.h"
@@ -32,7 +33,8 @@
 
 /// Runs platform requests over a few kept connections; requests beyond them wait in order.
 /// A write whose answer is lost ends as `outcome_unknown`; a read, or a write that was never sent,
-/// as `unavailable`.
+/// as `unavailable`. Conditions on values are carried out as conditions on the versions that rows
+/// had when they were last seen with these values; rows not seen lately are read first.
 class platform_http {
 public:
     using reply_function = std::function<void(platform_reply)>;
@@ -42,9 +44,9 @@
     platform_http(const platform_http&) = delete;
     platform_http& operator=(const platform_http&) = delete;
 
-    /// `done` is called once, later, on the I/O thread.
+    /// `done` is called once, later, on the I/O thread, unless this is destroyed before.
     void call(const platform_request& request, reply_function done);
-    const platform_traffic& traffic() const;
+    platform_traffic traffic() const;
 
 private:
     class implementation;
--- /dev/null
+++ b/src/libshell/store_client.cpp
@@ -0,0 +1,319 @@
+// HTTP calls to the platform's store.
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "libshell/store_client.h"
+#include "libshell/tcp_options.h"
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace camphor::shell {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// The largest answers are objects, of 8 MiB at most on the platforms known; twice that.
+constexpr std::size_t answer_limit_bytes = 16ULL * 1024 * 1024;
+/// Calls that may wait for a connection; more than a burst of all modules of a node.
+constexpr std::size_t queue_limit = 1'024;
+
+http::request<http::string_body> to_message(const platform::store_call& call,
+                                            const mesh::listen_address& address)
+{
+    http::request<http::string_body> out(http::string_to_verb(call.method), call.target, 11);
+    out.set(http::field::host, address.host + ":" + std::to_string(address.port));
+    if (!call.body.empty()) {
+        out.set(http::field::content_type, "application/json");
+        out.body() = call.body;
+    }
+    if (call.method != "GET") {
+        out.prepare_payload();
+    }
+    return out;
+}
+
+} // namespace
+
+class store_client::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(asio::io_context& context, mesh::listen_address target, std::size_t most)
+        : io(context), address(std::move(target)), most_lanes(most)
+    {
+    }
+
+    struct waiting_call {
+        platform::store_call call;
+        std::chrono::milliseconds limit{};
+        reply_function done;
+    };
+
+    class lane;
+
+    void add(waiting_call item);
+    /// Gives waiting calls to idle connections.
+    void next();
+
+    asio::io_context& io;
+    mesh::listen_address address;
+    std::size_t most_lanes;
+    std::deque<waiting_call> queue;
+    /// Most recently used last.
+    std::vector<std::shared_ptr<lane>> idle;
+    std::vector<std::weak_ptr<lane>> all;
+    store_counters counters;
+    bool closed = false;
+};
+
+/// One connection. Invariant: `current_` holds the call under way, empty when idle.
+class store_client::implementation::lane : public std::enable_shared_from_this<lane> {
+public:
+    explicit lane(const std::shared_ptr<implementation>& owner)
+        : owner_(owner), socket_(owner->io), timer_(owner->io)
+    {
+    }
+
+    void start(waiting_call item)
+    {
+        current_ = std::move(item);
+        begin();
+    }
+
+    /// Ends without a word to the caller.
+    void abandon()
+    {
+        ++turn_;
+        current_.reset();
+        timer_.cancel();
+        close();
+    }
+
+    void close()
+    {
+        error_code ignored;
+        socket_.close(ignored);
+        connected_ = false;
+        input_.consume(input_.size());
+    }
+
+private:
+    void begin()
+    {
+        sent_ = false;
+        ++turn_;
+        timer_.expires_after(current_->limit);
+        timer_.async_wait([self = shared_from_this(), mine = turn_](error_code error) {
+            if (!error && mine == self->turn_ && self->current_) {
+                self->finish({0, "", late_, self->sent_}, false);
+            }
+        });
+        const auto owner = owner_.lock();
+        if (connected_ && !(connected_to_ == owner->address)) {
+            close();
+        }
+        reused_ = connected_;
+        if (connected_) {
+            write();
+        } else {
+            connect();
+        }
+    }
+
+    void connect()
+    {
+        const auto owner = owner_.lock();
+        connected_to_ = owner->address;
+        error_code bad_address;
+        const auto host = asio::ip::make_address(owner->address.host, bad_address);
+        if (bad_address) {
+            asio::post(owner->io, [self = shared_from_this(), mine = turn_, bad_address] {
+                if (mine == self->turn_) {
+                    self->finish({0, "", bad_address.message(), false}, false);
+                }
+            });
+            return;
+        }
+        socket_.async_connect({host, owner->address.port},
+                              [self = shared_from_this(), mine = turn_](error_code error) {
+                                  if (mine != self->turn_) {
+                                      return;
+                                  }
+                                  if (error) {
+                                      self->finish({0, "", error.message(), false}, false);
+                                      return;
+                                  }
+                                  set_tcp_options(self->socket_);
+                                  self->connected_ = true;
+                                  self->write();
+                              });
+    }
+
+    void write()
+    {
+        const auto owner = owner_.lock();
+        const auto message = std::make_shared<http::request<http::string_body>>(
+            to_message(current_->call, owner->address));
+        sent_ = true;
+        ++owner->counters.calls;
+        http::async_write(
+            socket_, *message,
+            [self = shared_from_this(), message, mine = turn_](error_code error, std::size_t size) {
+                self->count(size);
+                if (mine != self->turn_) {
+                    return;
+                }
+                if (error) {
+                    self->finish({0, "", error.message(), true}, false);
+                    return;
+                }
+                self->read();
+            });
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(answer_limit_bytes);
+        http::async_read(
+            socket_, input_, *parser_,
+            [self = shared_from_this(), mine = turn_](error_code error, std::size_t size) {
+                self->count(size);
+                if (mine != self->turn_) {
+                    return;
+                }
+                if (error) {
+                    self->finish({0, "", error.message(), true}, false);
+                    return;
+                }
+                auto& message = self->parser_->get();
+                self->finish(
+                    {static_cast<int>(message.result_int()), std::move(message.body()), "", true},
+                    self->parser_->keep_alive());
+            });
+    }
+
+    void count(std::size_t bytes)
+    {
+        if (const auto owner = owner_.lock()) {
+            owner->counters.bytes += bytes;
+        }
+    }
+
+    void finish(const store_reply& reply, bool keep)
+    {
+        const auto owner = owner_.lock();
+        if (!owner) {
+            return;
+        }
+        ++turn_;
+        timer_.cancel();
+        owner->counters.failures += reply.status == 0 ? 1 : 0;
+        if (!keep) {
+            close();
+        }
+        // A kept connection may have been closed before the call reached the store; reads are sent
+        // again.
+        if (reply.status == 0 && reused_ && current_->call.method == "GET" &&
+            reply.problem != late_) {
+            begin();
+            return;
+        }
+        const auto done = std::move(current_->done);
+        current_.reset();
+        owner->idle.push_back(shared_from_this());
+        done(reply);
+        owner->next();
+    }
+
+    static constexpr const char* late_ = "no answer in time";
+
+    std::weak_ptr<implementation> owner_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    boost::beast::flat_buffer input_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<waiting_call> current_;
+    mesh::listen_address connected_to_;
+    /// Tells handlers of a call that was given up from those of the current one.
+    std::uint64_t turn_ = 0;
+    bool connected_ = false;
+    bool reused_ = false;
+    bool sent_ = false;
+};
+
+void store_client::implementation::add(waiting_call item)
+{
+    if (queue.size() >= queue_limit) {
+        ++counters.failures;
+        asio::post(io, [self = shared_from_this(), done = std::move(item.done)] {
+            if (!self->closed) {
+                done({0, "", "too many calls wait", false});
+            }
+        });
+        return;
+    }
+    queue.push_back(std::move(item));
+    next();
+}
+
+void store_client::implementation::next()
+{
+    while (!closed && !queue.empty()) {
+        if (idle.empty()) {
+            if (all.size() >= most_lanes) {
+                return;
+            }
+            auto created = std::make_shared<lane>(shared_from_this());
+            all.push_back(created);
+            idle.push_back(std::move(created));
+        }
+        const auto chosen = std::move(idle.back());
+        idle.pop_back();
+        auto item = std::move(queue.front());
+        queue.pop_front();
+        chosen->start(std::move(item));
+    }
+}
+
+store_client::store_client(asio::io_context& io, mesh::listen_address address,
+                           std::size_t connections)
+    : self_(std::make_shared<implementation>(io, std::move(address), connections))
+{
+}
+
+store_client::~store_client()
+{
+    self_->closed = true;
+    self_->queue.clear();
+    for (const auto& each : self_->all) {
+        if (const auto lane = each.lock()) {
+            lane->abandon();
+        }
+    }
+}
+
+void store_client::call(const platform::store_call& call, std::chrono::milliseconds limit,
+                        reply_function done)
+{
+    self_->add({call, limit, std::move(done)});
+}
+
+void store_client::set_address(mesh::listen_address address)
+{
+    self_->address = std::move(address);
+}
+
+const store_counters& store_client::counters() const
+{
+    return self_->counters;
+}
+
+} // namespace camphor::shell
--- a/src/libsidecar/store_client.h
+++ b/src/libshell/store_client.h
@@ -1,4 +1,4 @@
-// One kept connection to the platform's store: one call at a time, each with a time limit.
+// HTTP calls to the platform's store over a few kept connections, each call with a time limit.
 #pragma once
 
 #include "libmesh/mesh_settings.h"
@@ -11,7 +11,15 @@
 #include <memory>
 #include <string>
 
-namespace camphor::sidecar {
+namespace camphor::shell {
+
+/// Statuses of the store that callers tell apart.
+inline constexpr int store_ok = 200;
+inline constexpr int store_not_found = 404;
+/// A condition did not hold; nothing was written.
+inline constexpr int store_conflict = 412;
+/// The history that a feed asked for is no longer kept.
+inline constexpr int store_history_gone = 410;
 
 struct store_reply {
     /// HTTP status; 0 when no whole answer came.
@@ -26,22 +34,27 @@
 struct store_counters {
     std::uint64_t calls = 0;
     std::uint64_t failures = 0;
+    /// Heads and bodies, both ways.
     std::uint64_t bytes = 0;
 };
 
-/// Calls made while one is under way wait in order.
+/// A connection carries one call at a time; calls beyond them wait in order.
 class store_client {
 public:
     using reply_function = std::function<void(const store_reply&)>;
 
-    store_client(boost::asio::io_context& io, mesh::listen_address address);
+    store_client(boost::asio::io_context& io, mesh::listen_address address,
+                 std::size_t connections = 1);
     ~store_client();
     store_client(const store_client&) = delete;
     store_client& operator=(const store_client&) = delete;
 
-    /// `done` is called once, later, unless the client is destroyed before.
+    /// `done` is called once, later, unless the client is destroyed before. `limit` counts from
+    /// when a connection takes the call, and includes connecting.
     void call(const platform::store_call& call, std::chrono::milliseconds limit,
               reply_function done);
+    /// Calls that start from now on go to another address.
+    void set_address(mesh::listen_address address);
     const store_counters& counters() const;
 
 private:
@@ -49,4 +62,4 @@
     std::shared_ptr<implementation> self_;
 };
 
-} // namespace camphor::sidecar
+} // namespace camphor::shell
--- a/src/libsidecar/tcp_options.h
+++ b/src/libshell/tcp_options.h
@@ -6,7 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace camphor::sidecar {
+namespace camphor::shell {
 
 /// No delay; keep-alive probes and a bound on unacknowledged data, so that a connection that went
 /// silent is noticed within about three seconds whether it is idle or not.
@@ -29,4 +29,4 @@
                sizeof(unacknowledged_ms));
 }
 
-} // namespace camphor::sidecar
+} // namespace camphor::shell
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -6,8 +6,8 @@
 #include <boost/beast/http.hpp>
 
 #include "libshell/http_head.h"
+#include "libshell/tcp_options.h"
 #include "libsidecar/app_client.h"
-#include "libsidecar/tcp_options.h"
 #include "platform/header_names.h"
 
 #include <algorithm>
@@ -172,7 +172,7 @@
             self->fail(mesh::app_failure::unsent, true);
             return;
         }
-        set_tcp_options(self->socket_);
+        shell::set_tcp_options(self->socket_);
         self->write();
     });
 }
--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -2,7 +2,7 @@
 #include "libsidecar/http_listener.h"
 
 #include "libshell/http_head.h"
-#include "libsidecar/tcp_options.h"
+#include "libshell/tcp_options.h"
 
 #include <algorithm>
 
@@ -55,7 +55,7 @@
 
 void http_connection::start()
 {
-    set_tcp_options(socket_);
+    shell::set_tcp_options(socket_);
     read_next();
 }
 
--- a/src/libsidecar/peer_links.cpp
+++ b/src/libsidecar/peer_links.cpp
@@ -3,9 +3,9 @@
 
 #include <boost/asio.hpp>
 
+#include "libshell/tcp_options.h"
 #include "libshell/wire_codec.h"
 #include "libsidecar/peer_links.h"
-#include "libsidecar/tcp_options.h"
 
 #include <array>
 #include <map>
@@ -84,7 +84,7 @@
 
     void open()
     {
-        set_tcp_options(socket_);
+        shell::set_tcp_options(socket_);
         owner_->on_event(mesh::link_opened{id_, dialled_});
         read();
     }
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -21,9 +21,6 @@
 constexpr std::chrono::milliseconds first_pause{200};
 constexpr std::chrono::milliseconds longest_pause{1'600};
 constexpr int most_doublings = 3;
-constexpr int status_ok = 200;
-constexpr int status_gone = 410;
-constexpr int status_conflict = 412;
 
 } // namespace
 
@@ -49,7 +46,7 @@
     follow_timer_.cancel();
 }
 
-store_counters store_follower::counters() const
+shell::store_counters store_follower::counters() const
 {
     auto out = calls_.counters();
     out.calls += feed_.counters().calls;
@@ -67,8 +64,8 @@
 {
     const auto row =
         platform::write_row(platform::node_table, self_.node, platform::write_node_row(self_));
-    calls_.call(row, call_limit, [this](const store_reply& reply) {
-        if (reply.status != status_ok) {
+    calls_.call(row, call_limit, [this](const shell::store_reply& reply) {
+        if (reply.status != shell::store_ok) {
             retry_later(reply, &store_follower::announce);
             return;
         }
@@ -80,8 +77,8 @@
 void store_follower::list_nodes()
 {
     calls_.call(platform::read_table(platform::node_table), call_limit,
-                [this](const store_reply& reply) {
-                    if (reply.status != status_ok) {
+                [this](const shell::store_reply& reply) {
+                    if (reply.status != shell::store_ok) {
                         retry_later(reply, &store_follower::list_nodes);
                         return;
                     }
@@ -104,26 +101,27 @@
 
 void store_follower::read_status()
 {
-    calls_.call(
-        platform::read_table(platform::status_table), call_limit, [this](const store_reply& reply) {
-            if (reply.status != status_ok) {
-                retry_later(reply, &store_follower::read_status);
-                return;
-            }
-            try {
-                for (const auto& row : platform::read_rows(reply.body).rows) {
-                    if (const auto status = platform::read_rollout_status(row.key, row.value)) {
-                        on_event_(mesh::rollout_status_read{*status, row.version});
+    calls_.call(platform::read_table(platform::status_table), call_limit,
+                [this](const shell::store_reply& reply) {
+                    if (reply.status != shell::store_ok) {
+                        retry_later(reply, &store_follower::read_status);
+                        return;
                     }
-                }
-            } catch (const std::runtime_error& error) {
-                log(log_level::warning, "store.bad_row",
-                    {{"table", "status"}, {"reason", error.what()}});
-            }
-        });
+                    try {
+                        for (const auto& row : platform::read_rows(reply.body).rows) {
+                            if (const auto status =
+                                    platform::read_rollout_status(row.key, row.value)) {
+                                on_event_(mesh::rollout_status_read{*status, row.version});
+                            }
+                        }
+                    } catch (const std::runtime_error& error) {
+                        log(log_level::warning, "store.bad_row",
+                            {{"table", "status"}, {"reason", error.what()}});
+                    }
+                });
 }
 
-void store_follower::retry_later(const store_reply& reply, void (store_follower::*again)())
+void store_follower::retry_later(const shell::store_reply& reply, void (store_follower::*again)())
 {
     if (stopped_) {
         return;
@@ -149,7 +147,7 @@
     });
 }
 
-void store_follower::note_contact(bool good, const store_reply& reply)
+void store_follower::note_contact(bool good, const shell::store_reply& reply)
 {
     if (good) {
         failures_ = 0;
@@ -183,7 +181,7 @@
 {
     feed_pending_ = true;
     feed_.call(platform::read_table(platform::operator_table), call_limit,
-               [this](const store_reply& reply) { on_rows(reply, true); });
+               [this](const shell::store_reply& reply) { on_rows(reply, true); });
 }
 
 void store_follower::follow()
@@ -194,20 +192,21 @@
     }
     feed_pending_ = true;
     feed_.call(platform::follow_table(platform::operator_table, read_up_to_, feed_wait),
-               feed_wait + feed_slack, [this](const store_reply& reply) { on_rows(reply, false); });
+               feed_wait + feed_slack,
+               [this](const shell::store_reply& reply) { on_rows(reply, false); });
 }
 
-void store_follower::on_rows(const store_reply& reply, bool whole_table)
+void store_follower::on_rows(const shell::store_reply& reply, bool whole_table)
 {
     if (stopped_) {
         return;
     }
-    if (reply.status == status_gone && !whole_table) {
+    if (reply.status == shell::store_history_gone && !whole_table) {
         log(log_level::info, "store.history_gone", {{"read_up_to", std::to_string(read_up_to_)}});
         read_all();
         return;
     }
-    if (reply.status != status_ok) {
+    if (reply.status != shell::store_ok) {
         retry_later(reply, whole_table ? &store_follower::read_all : &store_follower::follow);
         return;
     }
@@ -266,14 +265,14 @@
     const auto row = platform::write_row(
         platform::status_table, platform::rollout_status_key(order.status.service),
         platform::write_rollout_status(order.status), order.expected_version);
-    calls_.call(row, call_limit, [this, order](const store_reply& reply) {
+    calls_.call(row, call_limit, [this, order](const shell::store_reply& reply) {
         using outcome = mesh::rollout_status_written::outcome;
         mesh::rollout_status_written happened;
         happened.status = order.status;
-        if (reply.status == status_ok) {
+        if (reply.status == shell::store_ok) {
             happened.result = outcome::written;
             happened.row_version = platform::read_written_version(reply.body);
-        } else if (reply.status == status_conflict) {
+        } else if (reply.status == shell::store_conflict) {
             happened.result = outcome::conflict;
             read_status();
         } else {
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "libmesh/messages.h"
-#include "libsidecar/store_client.h"
+#include "libshell/store_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,21 +33,21 @@
     void take(const mesh::take_rows& order);
     void write(const mesh::write_rollout_status& order);
 
-    store_counters counters() const;
+    shell::store_counters counters() const;
 
 private:
     void announce();
     void read_all();
     void read_status();
     void follow();
-    void on_rows(const store_reply& reply, bool whole_table);
-    void retry_later(const store_reply& reply, void (store_follower::*again)());
+    void on_rows(const shell::store_reply& reply, bool whole_table);
+    void retry_later(const shell::store_reply& reply, void (store_follower::*again)());
     void decode(const mesh_wire::operator_row& row);
-    void note_contact(bool good, const store_reply& reply);
+    void note_contact(bool good, const shell::store_reply& reply);
     void log(log_level level, const std::string& name, mesh::log_fields fields);
 
-    store_client calls_;
-    store_client feed_;
+    shell::store_client calls_;
+    shell::store_client feed_;
     boost::asio::steady_timer announce_timer_;
     boost::asio::steady_timer follow_timer_;
     mesh_wire::node_record self_;
--- a/src/standins/platform_service.cpp
+++ b/src/standins/platform_service.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <memory>
 
 namespace camphor::standin {
@@ -21,25 +22,36 @@
 
 constexpr std::array mode_names{"down", "slow", "lose_answers"};
 constexpr std::size_t seconds_kept = 600;
-constexpr std::int32_t scan_limit = 10'000;
-const std::string rows_path = "/v1/rows";
-const std::string objects_path = "/v1/objects/";
+/// A feed answers after this at the latest.
+constexpr std::int64_t longest_feed_ms = 30'000;
+/// Tables that only the operator writes.
+const std::array<std::string, 2> operator_tables{platform::operator_table, "servers"};
+const std::string get_object_path = "/-/blob-get/";
+const std::string put_object_path = "/-/blob-put/";
 
 http_response refusal(int status, const std::string& code, const std::string& reason)
 {
     return {status, error_body(code, {{"", reason}}), "application/json", {}, false};
 }
 
-std::int32_t parse_limit(const std::string& text)
+std::int64_t parse_number(const shell::url_parts& parts, const std::string& name, std::int64_t most,
+                          std::int64_t fallback)
 {
-    std::int32_t value = 0;
+    const auto text = parts.parameter(name, std::to_string(fallback));
+    std::int64_t value = 0;
     const auto* last = text.data() + text.size();
-    if (std::from_chars(text.data(), last, value).ptr != last || value < 1 || value > scan_limit) {
-        throw invalid_input("", "limit is a number from 1 to " + std::to_string(scan_limit));
+    if (std::from_chars(text.data(), last, value).ptr != last || value < 0 || value > most) {
+        throw invalid_input("", name + " is a number from 0 to " + std::to_string(most));
     }
     return value;
 }
 
+bool is_operators(const platform::row_write& write)
+{
+    return std::find(operator_tables.begin(), operator_tables.end(), write.table) !=
+           operator_tables.end();
+}
+
 } // namespace
 
 platform_fault_order parse_platform_fault(const std::string& text)
@@ -109,6 +121,10 @@
     bool is_write = false;
     http_response response;
     try {
+        if (request.method == "GET" && request.target.starts_with("/-/rows-feed?")) {
+            follow(request.target, reply);
+            return;
+        }
         response = route(request, is_write);
     } catch (const invalid_input& error) {
         response = {
@@ -119,9 +135,12 @@
                           fault(platform_fault_mode::lose_answers).ratio;
     if (lost) {
         reply->drop();
-        return;
+    } else {
+        reply->answer(std::move(response));
+    }
+    if (is_write || is_control) {
+        answer_feeds(is_active(platform_fault_mode::down));
     }
-    reply->answer(std::move(response));
 }
 
 http_response platform_service::route(const http_request& request, bool& is_write)
@@ -129,50 +148,115 @@
     const auto& target = request.target;
     const bool is_get = request.method == "GET";
     const bool is_put = request.method == "PUT";
-    if (request.method == "POST" && target == "/v1/transact") {
+    if (request.method == "POST" && target == "/-/rows-tx") {
         is_write = true;
         return transact(request);
     }
-    if (is_get && target.starts_with(rows_path)) {
+    if (is_get && target.starts_with("/-/rows-get?")) {
         return read_rows(target);
     }
-    if ((is_get || is_put) && target.starts_with(objects_path)) {
-        is_write = is_put;
-        return use_object(request, shell::percent_decode(target.substr(objects_path.size())));
+    if (is_get && target.starts_with(get_object_path)) {
+        return use_object(request, shell::percent_decode(target.substr(get_object_path.size())));
+    }
+    if (is_put && target.starts_with(put_object_path)) {
+        is_write = true;
+        return use_object(request, shell::percent_decode(target.substr(put_object_path.size())));
     }
     if (is_put && target == "/control/fault") {
         return set_fault(request.body);
     }
+    if (is_put && target == "/control/drop-history") {
+        table_.drop_history();
+        return {};
+    }
+    if ((is_put || is_get) && target.starts_with("/control/row?")) {
+        return use_row(request);
+    }
     if (is_get && target == "/control/stats") {
         return stats();
     }
     return refusal(404, "not_found", "no such path: " + request.method + " " + target);
 }
 
+void platform_service::follow(const std::string& target, const exchange_ptr& reply)
+{
+    const auto parts = shell::split_target(target);
+    ++counts_now().reads;
+    const auto table = parts.parameter("table");
+    const auto after = parse_number(parts, "after", std::numeric_limits<std::int64_t>::max(), 0);
+    const auto wait = parse_number(parts, "wait_ms", longest_feed_ms, 0);
+    const auto known = table_.changes(table, after);
+    if (!known || !known->rows.empty() || wait == 0) {
+        reply->answer(changes(table, after));
+        return;
+    }
+    const auto id = ++last_feed_;
+    boost::asio::steady_timer late(io_, std::chrono::milliseconds(wait));
+    late.async_wait([this, id](boost::system::error_code error) {
+        const auto feed = feeds_.find(id);
+        if (!error && feed != feeds_.end()) {
+            feed->second.reply->answer(changes(feed->second.table, feed->second.after));
+            feeds_.erase(feed);
+        }
+    });
+    feeds_.emplace(id, waiting_feed{table, after, reply, std::move(late)});
+}
+
+void platform_service::answer_feeds(bool all)
+{
+    for (auto item = feeds_.begin(); item != feeds_.end();) {
+        const auto& feed = item->second;
+        const auto known = table_.changes(feed.table, feed.after);
+        const bool changed = !known || !known->rows.empty();
+        if (all) {
+            feed.reply->drop();
+        } else if (changed) {
+            feed.reply->answer(changes(feed.table, feed.after));
+        }
+        item = all || changed ? feeds_.erase(item) : std::next(item);
+    }
+}
+
+http_response platform_service::changes(const std::string& table, std::int64_t after) const
+{
+    const auto known = table_.changes(table, after);
+    if (!known) {
+        return refusal(410, "gone", "changes after this version are no longer kept");
+    }
+    return {200, rows_to_json(*known), "application/json", {}, false};
+}
+
 http_response platform_service::transact(const http_request& request)
 {
-    const auto transaction = parse_transact(request.body);
+    const auto transaction = parse_transaction(request.body);
     auto& counts = counts_now();
     ++counts.transactions;
-    const auto failed = table_.transact(transaction);
-    if (!failed.empty()) {
-        return {409, json{{"failed_keys", failed}}.dump(), "application/json", {}, false};
+    if (std::any_of(transaction.writes.begin(), transaction.writes.end(), is_operators)) {
+        return refusal(403, "forbidden", "only the operator writes this table");
+    }
+    if (!table_.transact(transaction)) {
+        return {412,
+                rows_to_json(table_.rows_of(transaction.conditions)),
+                "application/json",
+                {},
+                false};
     }
     counts.writes += transaction.writes.size();
-    return {200, "{}", "application/json", {}, false};
+    return {200, json{{"ver", table_.version()}}.dump(), "application/json", {}, false};
 }
 
 http_response platform_service::read_rows(const std::string& target)
 {
     const auto parts = shell::split_target(target);
     ++counts_now().reads;
-    if (parts.path.size() > rows_path.size() + 1) {
-        const auto key = shell::percent_decode(parts.path.substr(rows_path.size() + 1));
-        return {200, rows_to_json(table_.read(key)), "application/json", {}, false};
-    }
-    const table_scan scan{parts.parameter("prefix"), parts.parameter("after"),
-                          parse_limit(parts.parameter("limit", "1000"))};
-    return {200, rows_to_json(table_.scan(scan)), "application/json", {}, false};
+    const auto most = parse_number(parts, "limit", platform::most_rows_per_read, 0);
+    const platform::row_range range{parts.parameter("from"), parts.parameter("target"),
+                                    static_cast<std::size_t>(most)};
+    return {200,
+            rows_to_json(table_.read(parts.parameter("table"), range)),
+            "application/json",
+            {},
+            false};
 }
 
 http_response platform_service::use_object(const http_request& request, const std::string& name)
@@ -190,6 +274,22 @@
     return {200, std::move(*body), "application/octet-stream", {}, false};
 }
 
+http_response platform_service::use_row(const http_request& request)
+{
+    const auto parts = shell::split_target(request.target);
+    const auto table = parts.parameter("table");
+    const auto key = parts.parameter("key");
+    if (request.method == "PUT") {
+        table_.transact({{}, {{table, key, request.body}}});
+        return {200, json{{"ver", table_.version()}}.dump(), "application/json", {}, false};
+    }
+    const auto rows = table_.read(table, {key, "", 1}).rows;
+    if (rows.empty() || rows.front().key != key) {
+        return refusal(404, "not_found", "no row " + key + " in table " + table);
+    }
+    return {200, rows.front().value, "application/json", {}, false};
+}
+
 http_response platform_service::set_fault(const std::string& body)
 {
     const auto order = parse_platform_fault(body);
--- a/src/standins/platform_table.cpp
+++ b/src/standins/platform_table.cpp
@@ -1,10 +1,13 @@
-// The stand-in platform's table and its JSON forms.
+// The stand-in platform's rows and their JSON forms.
 #include "platform_table.h"
 
+#include <camphortally/error.h>
 #include <camphortally/schema.h>
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace camphor::standin {
@@ -12,59 +15,124 @@
 namespace {
 
 using nlohmann::json;
+using platform::store_row;
+using platform::store_rows;
 
-std::optional<std::string> text_or_null(const json& value)
+/// Limits of the published protocol.
+constexpr std::size_t most_entries = 100;
+constexpr std::size_t most_row_bytes = 65'536;
+constexpr std::size_t most_key_bytes = 200;
+/// Changes that a feed can look back on.
+constexpr std::size_t most_history = 10'000;
+
+std::string key_of(const json& row)
 {
-    return value.is_null() ? std::nullopt : std::optional(value.get<std::string>());
+    auto key = row.at("key").get<std::string>();
+    if (key.empty() || key.size() > most_key_bytes) {
+        throw invalid_input("/key", "has 1 to 200 bytes");
+    }
+    if (!row.at("part").get<std::string>().empty()) {
+        throw invalid_input("/part", "this stand-in keeps the empty part only");
+    }
+    return key;
 }
 
 } // namespace
 
-std::vector<std::string> platform_table::transact(const table_transact& request)
+std::int64_t platform_table::version_of(const row_name& name) const
 {
-    std::vector<std::string> failed;
-    for (const auto& condition : request.conditions) {
-        const auto row = rows_.find(condition.key);
-        const auto held = row == rows_.end() ? std::nullopt : std::optional(row->second);
-        if (held != condition.expected) {
-            failed.push_back(condition.key);
-        }
-    }
-    if (!failed.empty()) {
-        return failed;
+    const auto found = rows_.find(name);
+    return found == rows_.end() ? 0 : found->second.version;
+}
+
+bool platform_table::transact(const rows_transaction& request)
+{
+    const auto holds = [&](const auto& item) {
+        return version_of({item.table, item.key}) == item.version;
+    };
+    if (!std::all_of(request.conditions.begin(), request.conditions.end(), holds)) {
+        return false;
     }
+    ++version_;
     for (const auto& write : request.writes) {
+        const row_name name{write.table, write.key};
         if (write.value) {
-            rows_[write.key] = *write.value;
+            rows_[name] = {*write.value, version_};
         } else {
-            rows_.erase(write.key);
+            rows_.erase(name);
         }
+        history_.push_back({version_, name});
+    }
+    while (history_.size() > most_history) {
+        forgotten_ = history_.front().version;
+        history_.pop_front();
     }
-    return {};
+    return true;
 }
 
-std::vector<table_row> platform_table::read(const std::string& key) const
+store_rows platform_table::rows_of(const std::vector<platform::row_condition>& conditions) const
 {
-    const auto row = rows_.find(key);
-    if (row == rows_.end()) {
-        return {};
+    store_rows out;
+    out.newest = version_;
+    for (const auto& item : conditions) {
+        const auto found = rows_.find({item.table, item.key});
+        if (found != rows_.end()) {
+            out.rows.push_back(
+                {item.table, item.key, found->second.value, found->second.version, false});
+        }
     }
-    return {{row->first, row->second}};
+    return out;
 }
 
-std::vector<table_row> platform_table::scan(const table_scan& request) const
+store_rows platform_table::read(const std::string& table, const platform::row_range& range) const
 {
-    std::vector<table_row> out;
-    const bool from_start = request.after < request.prefix;
-    auto row = from_start ? rows_.lower_bound(request.prefix) : rows_.upper_bound(request.after);
-    while (row != rows_.end() && row->first.starts_with(request.prefix) &&
-           out.size() < static_cast<std::size_t>(request.limit)) {
-        out.push_back({row->first, row->second});
-        ++row;
+    const auto most = range.most == 0 ? platform::most_rows_per_read
+                                      : std::min(range.most, platform::most_rows_per_read);
+    store_rows out;
+    out.newest = version_;
+    for (auto row = rows_.lower_bound({table, range.from});
+         row != rows_.end() && row->first.table == table; ++row) {
+        if (!range.end.empty() && row->first.key >= range.end) {
+            break;
+        }
+        if (out.rows.size() == most) {
+            out.truncated = true;
+            break;
+        }
+        out.rows.push_back({table, row->first.key, row->second.value, row->second.version, false});
     }
     return out;
 }
 
+std::optional<store_rows> platform_table::changes(const std::string& table,
+                                                  std::int64_t after) const
+{
+    if (after < forgotten_) {
+        return std::nullopt;
+    }
+    store_rows out;
+    out.newest = version_;
+    std::set<row_name> told;
+    for (auto change = history_.rbegin(); change != history_.rend(); ++change) {
+        if (change->version <= after || change->name.table != table ||
+            !told.insert(change->name).second) {
+            continue;
+        }
+        const auto row = rows_.find(change->name);
+        const bool removed = row == rows_.end();
+        out.rows.push_back(
+            {table, change->name.key, removed ? "" : row->second.value, change->version, removed});
+    }
+    std::reverse(out.rows.begin(), out.rows.end());
+    return out;
+}
+
+void platform_table::drop_history()
+{
+    history_.clear();
+    forgotten_ = version_;
+}
+
 void platform_table::put_object(const std::string& name, std::string body)
 {
     objects_[name] = std::move(body);
@@ -76,30 +144,49 @@
     return found == objects_.end() ? std::nullopt : std::optional(found->second);
 }
 
-table_transact parse_transact(const std::string& text)
+rows_transaction parse_transaction(const std::string& text)
 {
     const json document = parse_json(text);
     try {
-        table_transact out;
-        for (const auto& item : document.at("conditions")) {
-            out.conditions.push_back({item.at("key"), text_or_null(item.at("expected"))});
+        rows_transaction out;
+        for (const auto& item : document.at("expect")) {
+            out.conditions.push_back(
+                {item.at("table"), key_of(item), item.at("ver").get<std::int64_t>()});
         }
         for (const auto& item : document.at("writes")) {
-            out.writes.push_back({item.at("key"), text_or_null(item.at("value"))});
+            auto value = platform::decode_value(item.at("value").get<std::string>());
+            if (value.size() > most_row_bytes) {
+                throw invalid_input("/writes", "a row holds 65536 bytes at most");
+            }
+            out.writes.push_back({item.at("table"), key_of(item), std::move(value)});
+        }
+        for (const auto& item : document.at("deletes")) {
+            out.writes.push_back({item.at("table"), key_of(item), std::nullopt});
+        }
+        if (out.conditions.size() + out.writes.size() > most_entries) {
+            throw invalid_input("", "a transaction has 100 entries at most");
         }
         return out;
     } catch (const json::exception& error) {
         throw invalid_input("", std::string("not a transaction: ") + error.what());
+    } catch (const platform::bad_store_answer& error) {
+        throw invalid_input("/writes", error.what());
     }
 }
 
-std::string rows_to_json(const std::vector<table_row>& rows)
+std::string rows_to_json(const store_rows& rows)
 {
     json list = json::array();
-    for (const auto& row : rows) {
-        list.push_back({{"key", row.key}, {"value", row.value}});
+    for (const auto& row : rows.rows) {
+        json item{{"table", row.table}, {"part", ""}, {"key", row.key}, {"ver", row.version}};
+        if (row.removed) {
+            item["tombstone"] = true;
+        } else {
+            item["value"] = platform::encode_value(row.value);
+        }
+        list.push_back(std::move(item));
     }
-    return json{{"rows", list}}.dump();
+    return json{{"rows", list}, {"truncated", rows.truncated}, {"ver", rows.newest}}.dump();
 }
 
 } // namespace camphor::standin
--- a/src/standins/standin_test.cpp
+++ b/src/standins/standin_test.cpp
@@ -19,31 +19,63 @@
 BOOST_AUTO_TEST_CASE(a_transaction_is_applied_whole_or_not_at_all)
 {
     platform_table table;
-    const table_transact first{{{"a", std::nullopt}}, {{"a", "1"}, {"b", "2"}}};
-    BOOST_TEST(table.transact(first).empty());
-    BOOST_TEST(table.transact(first) == std::vector<std::string>{"a"},
-               boost::test_tools::per_element());
-    const table_transact second{{{"a", "1"}, {"b", "9"}}, {{"a", std::nullopt}}};
-    BOOST_TEST(table.transact(second) == std::vector<std::string>{"b"},
-               boost::test_tools::per_element());
+    const rows_transaction first{{{"t", "a", 0}}, {{"t", "a", "1"}, {"t", "b", "2"}}};
+    BOOST_TEST(table.transact(first));
+    BOOST_TEST(!table.transact(first));
+    const auto version = table.rows_of({{"t", "a", 0}}).rows.front().version;
+    BOOST_TEST(!table.transact(
+        {{{"t", "a", version}, {"t", "b", version + 1}}, {{"t", "a", std::nullopt}}}));
     BOOST_TEST(table.row_count() == 2U);
+    BOOST_TEST(table.transact({{{"t", "a", version}}, {{"t", "a", std::nullopt}}}));
+    BOOST_TEST(table.row_count() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(a_scan_gives_rows_after_a_key_in_order)
+BOOST_AUTO_TEST_CASE(a_read_gives_a_range_of_one_table_in_order)
 {
     platform_table table;
-    table.transact({{}, {{"x/3", "c"}, {"x/1", "a"}, {"x/2", "b"}, {"y", "z"}}});
-    const auto rows = table.scan({"x/", "x/1", 10});
-    BOOST_REQUIRE_EQUAL(rows.size(), 2U);
-    BOOST_TEST(rows.front().key == "x/2");
-    BOOST_TEST(table.scan({"x/", "", 1}).front().key == "x/1");
+    table.transact({{}, {{"t", "x3", "c"}, {"t", "x1", "a"}, {"t", "x2", "b"}, {"u", "x0", "z"}}});
+    BOOST_TEST(table.read("t", {}).rows.size() == 3U);
+    const auto some = table.read("t", {"x1", "x3", 1});
+    BOOST_REQUIRE_EQUAL(some.rows.size(), 1U);
+    BOOST_TEST(some.rows.front().key == "x1");
+    BOOST_TEST(some.truncated);
+}
+
+BOOST_AUTO_TEST_CASE(changes_come_in_order_once_and_not_from_dropped_history)
+{
+    platform_table table;
+    table.transact({{}, {{"t", "a", "1"}, {"t", "b", "1"}}});
+    const auto after = table.version();
+    table.transact({{}, {{"t", "b", "2"}}});
+    table.transact({{}, {{"t", "a", std::nullopt}}});
+    table.transact({{}, {{"t", "b", "3"}, {"u", "c", "1"}}});
+    const auto news = table.changes("t", after);
+    BOOST_REQUIRE(news.has_value());
+    BOOST_REQUIRE_EQUAL(news->rows.size(), 2U);
+    BOOST_TEST(news->rows.front().removed);
+    BOOST_TEST(news->rows.back().value == "3");
+    table.drop_history();
+    BOOST_TEST(!table.changes("t", after).has_value());
+    BOOST_TEST(table.changes("t", table.version()).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_damaged_transaction_is_read_or_refused)
 {
     BOOST_TEST(test::survives_damage<invalid_input>(
-        R"({"conditions":[{"key":"a","expected":null}],"writes":[{"key":"a","value":"x"}]})",
-        [](const std::string& text) { parse_transact(text); }));
+        R"({"expect":[{"table":"t","part":"","key":"a","ver":0}],
+            "writes":[{"table":"t","part":"","key":"a","value":"eA=="}],
+            "deletes":[{"table":"t","part":"","key":"b"}]})",
+        [](const std::string& text) { parse_transaction(text); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_transaction_beyond_the_limits_is_refused)
+{
+    std::string entries;
+    for (int i = 0; i < 101; ++i) {
+        entries += (i == 0 ? "" : ",") + std::string(R"({"table":"t","part":"","key":"a"})");
+    }
+    BOOST_CHECK_THROW(parse_transaction(R"({"expect":[],"writes":[],"deletes":[)" + entries + "]}"),
+                      invalid_input);
 }
 
 BOOST_AUTO_TEST_CASE(a_damaged_platform_fault_is_read_or_refused)
--- a/testsuite/sidecar/run.py
+++ b/testsuite/sidecar/run.py
@@ -1,6 +1,6 @@
 """Two nodes on the published protocol: serve, follow a change, drain, live without the store, stop.
 
-usage: run.py CAMPHORD
+usage: run.py CAMPHORD STANDIN_PLATFORM
 """
 import http.client
 import json
@@ -119,10 +119,9 @@
         return self.process.wait(timeout=LIMIT_S)
 
 
-def check(program, folder):
-    store = standin.Store()
-    store_server = standin.start_store(store)
-    store_port = store_server.server_address[1]
+def check(program, store, folder):
+    until("the store is up", store.is_up)
+    store_port = store.port
     one = Node(program, folder, "n1", "s0", "i-1", store_port)
     two = Node(program, folder, "n2", "s1", "i-2", store_port)
     nodes = [one, two]
@@ -143,9 +142,9 @@
         until("the change is in force", lambda: one.send("/a/", "gone")[0] == 404)
         store.put("op", "config", "no configuration")
         assert one.send("/b/", "kept")[0] == 200, "a bad row changes nothing"
-        store.away = True
+        store.set_away(True)
         assert one.send("/b/", "alone")[0] == 200, "the store is not needed to serve"
-        store.away = False
+        store.set_away(False)
         assert call(two.control, "POST", "/-/instances/i-2/heartbeat", "{}")[0] == 400
         assert b"camphor_requests_total" in call(one.peers + 1, "GET", "/metrics")[1]
         assert two.check_in("draining") == 200
@@ -165,8 +164,12 @@
 
 
 def main():
-    with tempfile.TemporaryDirectory() as folder:
-        check(os.path.abspath(sys.argv[1]), folder)
+    store = standin.Store(os.path.abspath(sys.argv[2]), free_ports(1)[0])
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            check(os.path.abspath(sys.argv[1]), store, folder)
+    finally:
+        store.stop()
     print("served, changed, drained and stopped")
 
 
--- a/testsuite/sidecar/standin.py
+++ b/testsuite/sidecar/standin.py
@@ -1,48 +1,53 @@
-"""Stand-ins for the platform's store and for a backend server, by their published protocols."""
-import base64
+"""Stand-ins beside a node: a backend server, and control of the stand-in platform's store."""
+import http.client
 import json
+import subprocess
 import threading
+import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from urllib.parse import parse_qs, urlsplit
 
 
 class Store:
-    """Rows of tables with one counter of versions; feeds wait for news."""
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 1
-        self.news = threading.Condition()
-        self.away = False
-
-    def write(self, rows, expected=()):
-        """Applies all rows or none; None when a condition does not hold."""
-        with self.news:
-            for row in expected:
-                known = self.rows.get((row["table"], row["key"]))
-                if (known["ver"] if known else 0) != row["ver"]:
-                    return None
-            self.version += 1
-            for row in rows:
-                self.rows[(row["table"], row["key"])] = {**row, "ver": self.version}
-            self.news.notify_all()
-            return self.version
+    """Runs standin_platform; writes the operator's rows and sets faults."""
+
+    def __init__(self, program, port):
+        self.port = port
+        self.process = subprocess.Popen([program, "--port", str(port)])
+
+    def _call(self, method, path, body=""):
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=5)
+        try:
+            connection.request(method, path, body)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        finally:
+            connection.close()
+
+    def is_up(self):
+        try:
+            return self._call("GET", "/control/stats")[0] == 200
+        except OSError:
+            return False
+
+    @staticmethod
+    def _row(table, key):
+        return "/control/row?" + urllib.parse.urlencode({"table": table, "key": key})
 
     def put(self, table, key, document):
-        value = base64.b64encode(json.dumps(document).encode()).decode()
-        self.write([{"table": table, "part": "", "key": key, "value": value}])
+        status, body = self._call("PUT", self._row(table, key), json.dumps(document))
+        assert status == 200, body
 
     def get(self, table, key):
-        row = self.rows.get((table, key))
-        return json.loads(base64.b64decode(row["value"])) if row else None
+        status, body = self._call("GET", self._row(table, key))
+        return json.loads(body) if status == 200 else None
 
-    def read(self, table, after=0, wait_s=0.0):
-        with self.news:
-            found = lambda: [r for (t, _), r in sorted(self.rows.items())
-                             if t == table and r["ver"] > after]
-            if wait_s:
-                self.news.wait_for(lambda: found() or self.away, wait_s)
-            return {"rows": found(), "truncated": False, "ver": self.version, "now_ms": 0}
+    def set_away(self, away):
+        fault = {"mode": "down" if away else "none"}
+        assert self._call("PUT", "/control/fault", json.dumps(fault))[0] == 200
+
+    def stop(self):
+        self.process.terminate()
+        self.process.wait(timeout=10)
 
 
 class Backend:
@@ -64,40 +69,6 @@
     handler.wfile.write(body)
 
 
-def _store_handler(store):
-    class Handler(BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def log_message(self, *_):
-            pass
-
-        def answer(self, status, document):
-            _reply(self, status, json.dumps(document).encode())
-
-        def do_GET(self):
-            url = urlsplit(self.path)
-            query = {k: v[0] for k, v in parse_qs(url.query).items()}
-            if store.away:
-                return self.answer(503, {"error": "away"})
-            if url.path == "/-/rows-get":
-                return self.answer(200, store.read(query["table"]))
-            if url.path == "/-/rows-feed":
-                wait = min(int(query["wait_ms"]) / 1000, 5)
-                return self.answer(200, store.read(query["table"], int(query["after"]), wait))
-            return self.answer(404, {"error": "no such call"})
-
-        def do_POST(self):
-            body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-            if store.away:
-                return self.answer(503, {"error": "away"})
-            version = store.write(body["writes"], body["expect"])
-            if version is None:
-                return self.answer(412, {"rows": [], "ver": store.version})
-            return self.answer(200, {"ver": version, "now_ms": 0})
-
-    return Handler
-
-
 def _backend_handler(backend):
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
@@ -133,9 +104,5 @@
     return server
 
 
-def start_store(store, port=0):
-    return _serve(_store_handler(store), port)
-
-
 def start_backend(backend, port=0):
     return _serve(_backend_handler(backend), port)
