Find a silent store within two seconds, so that others of the zone take over

Their feed's connection was found dead after 3 s, and the read was then silently sent again on a new connection, whose connecting had the feed's whole limit of 23 s. Until then they told their zones that all was well.

Ruled out: other nodes missing the watcher's word (they were still in touch with it); a feed with shorter waits (a store call a second and zone, priced, where keep-alive probes cost none).

Change: connections to the store are probed every second and given up after the first lost probe; connecting has a limit of its own, 1 s; a read is sent again only when the kept connection broke at once.

What remains is a margin of about 0.1 s when the cut and the change fall together.

--- a/src/libshell/store_client.cpp
+++ b/src/libshell/store_client.cpp
@@ -8,6 +8,7 @@
 #include "libshell/store_client.h"
 #include "libshell/tcp_options.h"
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <vector>
@@ -25,6 +26,12 @@
 constexpr std::size_t answer_limit_bytes = 16ULL * 1024 * 1024;
 /// Calls that may wait for a connection; more than a burst of all modules of a node.
 constexpr std::size_t queue_limit = 1'024;
+/// A connection that takes longer is given up: the store is near, and calls have limits of their
+/// own that may be far longer.
+constexpr std::chrono::milliseconds connect_limit{1'000};
+/// A kept connection that the store had closed shows it at once; what fails later is a failure of
+/// the store or of the way there.
+constexpr std::chrono::milliseconds stale_limit{100};
 
 http::request<http::string_body> to_message(const platform::store_call& call,
                                             const mesh::listen_address& address)
@@ -75,6 +82,8 @@
 
 /// One connection. Invariant: `current_` holds the call under way, empty when idle.
 class store_client::implementation::lane : public std::enable_shared_from_this<lane> {
+    using clock = std::chrono::steady_clock;
+
 public:
     explicit lane(const std::shared_ptr<implementation>& owner)
         : owner_(owner), socket_(owner->io), timer_(owner->io)
@@ -109,12 +118,7 @@
     {
         sent_ = false;
         ++turn_;
-        timer_.expires_after(current_->limit);
-        timer_.async_wait([self = shared_from_this(), mine = turn_](error_code error) {
-            if (!error && mine == self->turn_ && self->current_) {
-                self->finish({0, "", late_, self->sent_}, false);
-            }
-        });
+        started_ = clock::now();
         const auto owner = owner_.lock();
         if (connected_ && !(connected_to_ == owner->address)) {
             close();
@@ -127,10 +131,22 @@
         }
     }
 
+    /// Ends the call at `late`, unless it moves on before.
+    void arm(clock::time_point late)
+    {
+        timer_.expires_at(late);
+        timer_.async_wait([self = shared_from_this(), mine = turn_](error_code error) {
+            if (!error && mine == self->turn_ && self->timer_.expiry() <= clock::now()) {
+                self->finish({0, "", "no answer in time", self->sent_}, false);
+            }
+        });
+    }
+
     void connect()
     {
         const auto owner = owner_.lock();
         connected_to_ = owner->address;
+        arm(started_ + std::min(connect_limit, current_->limit));
         error_code bad_address;
         const auto host = asio::ip::make_address(owner->address.host, bad_address);
         if (bad_address) {
@@ -150,7 +166,7 @@
                                       self->finish({0, "", error.message(), false}, false);
                                       return;
                                   }
-                                  set_tcp_options(self->socket_);
+                                  set_tcp_options(self->socket_, silence_check::prompt);
                                   self->connected_ = true;
                                   self->write();
                               });
@@ -162,6 +178,7 @@
         const auto message = std::make_shared<http::request<http::string_body>>(
             to_message(current_->call, owner->address));
         sent_ = true;
+        arm(started_ + current_->limit);
         ++owner->counters.calls;
         http::async_write(
             socket_, *message,
@@ -222,7 +239,7 @@
         // A kept connection may have been closed before the call reached the store; reads are sent
         // again.
         if (reply.status == 0 && reused_ && current_->call.method == "GET" &&
-            reply.problem != late_) {
+            clock::now() - started_ < stale_limit) {
             begin();
             return;
         }
@@ -233,8 +250,6 @@
         owner->next();
     }
 
-    static constexpr const char* late_ = "no answer in time";
-
     std::weak_ptr<implementation> owner_;
     tcp::socket socket_;
     asio::steady_timer timer_;
@@ -242,6 +257,7 @@
     std::optional<http::response_parser<http::string_body>> parser_;
     std::optional<waiting_call> current_;
     mesh::listen_address connected_to_;
+    clock::time_point started_;
     /// Tells handlers of a call that was given up from those of the current one.
     std::uint64_t turn_ = 0;
     bool connected_ = false;
