Forget a node when another one answers at its address

A machine died, a new one got its address, and the others' next dial reached that one: they kept it under the dead node's name, with its old backend server and its word that it reads the store. So they took the dead node for the one that decides on roll-outs; nobody decided, and the deadline of the roll-out passed. Requests meant for the dead node's backend server were refused there.

Ruled out: the policy (it had no evidence and was never asked); the holder's silence (frames of the heir counted as the dead node's).

Change: the state that answers a dial names its sender; another name than the one dialled forgets that node and closes the link. A lost node no longer counts as reading the store, and a node that stops reading tells the others.

--- a/src/libmesh/mesh_load_test.cpp
+++ b/src/libmesh/mesh_load_test.cpp
@@ -385,3 +385,44 @@
                    requests / 10 + 50);
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_rollout_ends_though_the_deciding_node_died_and_its_address_was_reused)
+{
+    test_net net(6);
+    net.configure(true, 2000ms, 1000ms);
+    for (std::size_t i = 3; i < 6; ++i) {
+        net.app(i).release = release_id{"v2"};
+    }
+    net.order_rollout("v2", 15s);
+    net.run_for(500ms);
+    net.kill(0);
+    net.pass_address(0, 5);
+    for (int second = 0; second < 17; ++second) {
+        for (std::size_t n = 1; n < 6; ++n) {
+            net.check_in(n);
+            net.send(n, "a" + std::to_string(second) + "-" + std::to_string(n));
+        }
+        net.run_for(1s);
+    }
+    BOOST_REQUIRE(!net.statuses().empty());
+    BOOST_TEST((net.statuses().back().phase != rollout_phase::running));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_sent_to_a_node_under_the_name_of_another)
+{
+    test_net net(nodes);
+    net.configure(true);
+    check_in_all(net);
+    net.kill(0);
+    net.pass_address(0, 2);
+    net.run_for(2s);
+    // More than the node's own backend server can serve, less than both can.
+    for (int i = 0; i < 60; ++i) {
+        net.send(1, "h" + std::to_string(i));
+        net.run_for(17ms);
+    }
+    net.run_for(1s);
+    BOOST_TEST(count(net).in_time == 60);
+    // What is meant for the other's backend server would be refused there.
+    BOOST_TEST(net.core(2).counters().owner_refusals == 0U);
+}
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -220,6 +220,8 @@
     void on_pull(link_id link, const mesh_wire::rows_pull& frame);
     void update_room(peer& from, const mesh_wire::owner_load& load, const route_id* way);
     void lose_peer(peer& lost);
+    /// Another node answers at the address of one that was dialled: that one is gone.
+    void forget_replaced(link_id link, const node_id& gone, const node_id& found);
     void pull_if_behind();
     /// One node in each zone reads the store for the others; each of them takes over by itself.
     void choose_watcher();
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -5,6 +5,7 @@
 #include <camphortally/balancer.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace camphor::mesh {
 
@@ -150,6 +151,7 @@
 {
     const bool was_open = lost.link.has_value();
     lost.link.reset();
+    lost.store_fresh = false;
     lost.dialling = false;
     lost.next_dial = now_ + first_redial * (1 << std::min(lost.failed_dials, most_doublings));
     ++lost.failed_dials;
@@ -177,6 +179,17 @@
     }
 }
 
+void node::forget_replaced(link_id link, const node_id& gone, const node_id& found)
+{
+    log(log_level::warning, "peer.replaced", "",
+        {{"peer", gone.value()}, {"found", found.value()}});
+    if (auto* other = peers_.find(gone); other != nullptr && other->link == link) {
+        lose_peer(*other);
+        peers_.forget(gone);
+    }
+    out_.emplace_back(close_link{link});
+}
+
 void node::send_frame(link_id link, mesh_wire::mesh_frame frame)
 {
     const auto known = links_.find(link);
@@ -348,8 +361,12 @@
         log(log_level::info, "peer.learned", "",
             {{"peer", state.sender.node}, {"zone", state.sender.zone}});
     }
-    auto& from = *peers_.find(name);
     auto& connection = links_.at(link);
+    if (connection.dialled && connection.peer && *connection.peer != name) {
+        forget_replaced(link, *connection.peer, name);
+        return;
+    }
+    auto& from = *peers_.find(name);
     const bool introduced = connection.peer.has_value();
     connection.peer = name;
     if (!connection.dialled && !introduced) {
@@ -519,7 +536,10 @@
         following_ = !covered;
         out_.emplace_back(follow_store{following_});
         log(log_level::info, following_ ? "store.watching" : "store.watched_by_other", "", {});
-        store_fresh_ = false;
+        if (std::exchange(store_fresh_, false)) {
+            // The others choose who decides on roll-outs by it.
+            broadcast_state();
+        }
     }
 }
 
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -158,6 +158,12 @@
         }
     }
 
+    /// Whoever dials the address of node `gone` reaches node `heir` from now on.
+    void pass_address(std::size_t gone, std::size_t heir)
+    {
+        heirs_["n" + std::to_string(gone)] = "n" + std::to_string(heir);
+    }
+
     void stop(std::size_t i) { feed(*hosts_.at(i), stop_asked{}); }
 
     void order_rollout(const std::string& release, milliseconds within)
@@ -201,6 +207,8 @@
         host* to = nullptr;
         link_id here;
         link_id there;
+        /// The node that was dialled.
+        node_id name;
     };
     struct timed {
         time_point at;
@@ -322,9 +330,11 @@
 
     void perform(host& from, const dial_peer& order)
     {
+        const auto heir = heirs_.find(order.peer.node);
+        const auto& at_address = heir == heirs_.end() ? order.peer.node : heir->second;
         host* to = nullptr;
         for (auto& item : hosts_) {
-            to = item->core.record().node == order.peer.node ? item.get() : to;
+            to = item->core.record().node == at_address ? item.get() : to;
         }
         const link_id here{++last_link_};
         const node_id name{order.peer.node};
@@ -333,13 +343,31 @@
             return;
         }
         const link_id there{++last_link_};
-        links_[here.value()] = {&from, to, here, there};
+        links_[here.value()] = {&from, to, here, there, name};
         at(link_delay, [this, &from, to, here, there, name] {
             feed(*to, link_opened{there, std::nullopt});
             feed(from, link_opened{here, name});
         });
     }
 
+    void perform(host& from, const close_link& order)
+    {
+        for (const auto& [key, item] : links_) {
+            if ((item.here == order.link && item.from == &from) ||
+                (item.there == order.link && item.to == &from)) {
+                at(link_delay, [this, key = key] { break_link(key); });
+                return;
+            }
+        }
+    }
+
+    void perform(host& from, const follow_store& order)
+    {
+        if (order.follow) {
+            at(4ms, [this, &from] { feed(from, rows_read{{}, 1, true}); });
+        }
+    }
+
     void perform(host& from, const send_to_peer& order)
     {
         for (const auto& [key, item] : links_) {
@@ -367,7 +395,7 @@
         }
         const auto item = found->second;
         links_.erase(found);
-        feed(*item.from, link_closed{item.here, node_id{item.to->core.record().node}});
+        feed(*item.from, link_closed{item.here, item.name});
         feed(*item.to, link_closed{item.there, std::nullopt});
     }
 
@@ -383,11 +411,20 @@
         }
         done.result = fits ? rollout_status_written::outcome::written
                            : rollout_status_written::outcome::conflict;
-        at(4ms, [this, &from, done] { feed(from, done); });
+        const rollout_status_read held{statuses_.back(), status_version_};
+        at(4ms, [this, &from, done, held, fits] {
+            feed(from, done);
+            if (!fits) {
+                // The shell reads the row that was in the way.
+                feed(from, held);
+            }
+        });
     }
 
     std::vector<std::unique_ptr<host>> hosts_;
     std::map<std::uint64_t, link> links_;
+    /// By name of a node that is gone: who has its address.
+    std::map<std::string, std::string> heirs_;
     std::priority_queue<timed> queue_;
     std::map<std::string, int> runs_;
     std::map<std::string, client_result> results_;
