Take changed settings over in a running node

Cause: SIGHUP was logged and nothing else; a settings file that changed without a signal was not seen at all.

Ruled out: waiting for the signal only (the file may change without one); watching the file by the kernel (not available on the platform's machines).

Change: settings_watch reads the file each second and at SIGHUP; the limits and the store's address are taken over, what needs a restart is named in the log, a file that cannot be used is logged with its reason and changes nothing. Calls of the store under way when its address changes end at once.

--- a/src/camphord/main.cpp
+++ b/src/camphord/main.cpp
@@ -48,8 +48,8 @@
         return exit_bad_settings;
     }
     try {
-        auto settings = camphor::platform::read_boot_file(camphor::shell::read_file(path));
-        camphor::sidecar::sidecar(std::move(settings)).run();
+        const auto text = camphor::shell::read_file(path);
+        camphor::sidecar::sidecar(camphor::platform::read_boot_file(text), path, text).run();
         return exit_ok;
     } catch (const camphor::platform::bad_boot_file& error) {
         std::cerr << path << ": " << error.what() << '\n';
--- a/src/libmesh/mesh_settings.h
+++ b/src/libmesh/mesh_settings.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace camphor::mesh {
 
@@ -34,6 +35,8 @@
     /// Part of a service's requests that a bad release may get during its roll-out.
     double exposure_share = 0.1;
     milliseconds heartbeat_interval{1500};
+
+    bool operator==(const mesh_bounds&) const = default;
 };
 
 struct mesh_settings {
@@ -51,7 +54,16 @@
     listen_address metrics;
     listen_address store;
     mesh_bounds bounds;
-    std::size_t memory_bytes = 0;
 };
 
+/// What a changed settings file asks for.
+struct settings_change {
+    bool bounds = false;
+    bool store = false;
+    /// Settings that differ and hold until the next start.
+    std::vector<std::string> at_restart;
+};
+
+settings_change compare(const mesh_settings& held, const mesh_settings& wanted);
+
 } // namespace camphor::mesh
--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "libmesh/mesh_config.h"
+#include "libmesh/mesh_settings.h"
 
 #include <camphortally/effect.h>
 #include <camphortally/ids.h>
@@ -173,11 +174,16 @@
 /// SIGTERM.
 struct stop_asked {};
 
+/// The operators of the mesh set other limits.
+struct bounds_changed {
+    mesh_bounds bounds;
+};
+
 using event =
     std::variant<client_request, client_gone, app_answered, app_failed, backend_checked_in,
                  backend_left, link_opened, link_closed, frame_arrived, config_read, order_read,
                  rollout_status_read, rollout_status_written, nodes_listed, rows_read, time_passed,
-                 stop_asked>;
+                 stop_asked, bounds_changed>;
 
 // Effects.
 
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -118,6 +118,15 @@
     broadcast_state();
 }
 
+void node::take(const bounds_changed& happened)
+{
+    if (happened.bounds.budget_window != settings_.bounds.budget_window) {
+        // Windows of another length start empty; the extra of one window bounds what that allows.
+        budgets_.clear();
+    }
+    settings_.bounds = happened.bounds;
+}
+
 void node::take(const time_passed&)
 {
     while (!timers_.empty() && timers_.begin()->first <= now_) {
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -158,6 +158,7 @@
     void take(const rows_read& happened);
     void take(const time_passed& happened);
     void take(const stop_asked& happened);
+    void take(const bounds_changed& happened);
     void log(log_level level, std::string name, const std::string& request, log_fields fields);
     double random_part();
 
--- a/src/libshell/store_client.cpp
+++ b/src/libshell/store_client.cpp
@@ -105,6 +105,16 @@
         close();
     }
 
+    /// Ends the call under way: the store is elsewhere.
+    void move()
+    {
+        if (current_) {
+            finish({0, "", "the store's address changed", sent_}, false);
+        } else {
+            close();
+        }
+    }
+
     void close()
     {
         error_code ignored;
@@ -325,6 +335,11 @@
 void store_client::set_address(mesh::listen_address address)
 {
     self_->address = std::move(address);
+    for (const auto& each : self_->all) {
+        if (const auto lane = each.lock()) {
+            lane->move();
+        }
+    }
 }
 
 const store_counters& store_client::counters() const
--- a/src/libshell/store_client.h
+++ b/src/libshell/store_client.h
@@ -53,7 +53,7 @@
     /// when a connection takes the call, and includes connecting.
     void call(const platform::store_call& call, std::chrono::milliseconds limit,
               reply_function done);
-    /// Calls that start from now on go to another address.
+    /// All calls go to another address from now on; those under way end without an answer.
     void set_address(mesh::listen_address address);
     const store_counters& counters() const;
 
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -1,6 +1,7 @@
 // Ties decisions and I/O of a node on the users' platform together.
 #include <utility>
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 
@@ -8,6 +9,7 @@
 #include "libshell/metrics.h"
 #include "libsidecar/node_metrics.h"
 #include "libsidecar/sidecar.h"
+#include "platform/boot_file.h"
 #include "platform/check_in.h"
 #include "platform/header_names.h"
 
@@ -67,7 +69,8 @@
 
 } // namespace
 
-sidecar::sidecar(mesh::mesh_settings settings)
+sidecar::sidecar(mesh::mesh_settings settings, const std::string& settings_path,
+                 const std::string& settings_text)
     : settings_(std::move(settings)), io_(1),
       log_({settings_.node, settings_.zone}, log_level::info, std::cout),
       node_(settings_, boot_number(), std::random_device{}()),
@@ -82,7 +85,13 @@
       ready_(io_, settings_.ready.host, settings_.ready.port, ready_handlers()),
       control_(io_, settings_.control.host, settings_.control.port, control_handlers()),
       metrics_(io_, settings_.metrics.host, settings_.metrics.port, metrics_handlers()),
-      signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_)
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      settings_watch_(
+          io_, settings_path, settings_text, [this](const std::string& text) { reload(text); },
+          [this](const std::string& problem) {
+              write_log({log_level::error, "node.bad_settings", "", {{"reason", problem}}});
+          }),
+      timer_(io_)
 {
 }
 
@@ -96,6 +105,7 @@
          "",
          {{"service", settings_.service.value()}, {"boot", std::to_string(node_.record().boot)}}});
     watch_signals();
+    settings_watch_.start();
     store_.start();
     arm();
     io_.run();
@@ -299,10 +309,9 @@
             return;
         }
         if (signal == SIGHUP) {
-            write_log({log_level::info,
-                       "node.reloaded",
-                       "",
-                       {{"note", "settings hold until a restart"}}});
+            if (!settings_watch_.check()) {
+                write_log({log_level::info, "node.reloaded", "", {{"changed", ""}}});
+            }
         } else {
             post(mesh::stop_asked{});
         }
@@ -310,9 +319,39 @@
     });
 }
 
+void sidecar::reload(const std::string& settings_text)
+{
+    mesh::mesh_settings wanted;
+    try {
+        wanted = platform::read_boot_file(settings_text);
+    } catch (const platform::bad_boot_file& error) {
+        write_log({log_level::error, "node.bad_settings", "", {{"reason", error.what()}}});
+        return;
+    }
+    const auto change = mesh::compare(settings_, wanted);
+    if (change.bounds) {
+        settings_.bounds = wanted.bounds;
+        post(mesh::bounds_changed{wanted.bounds});
+    }
+    if (change.store) {
+        settings_.store = wanted.store;
+        store_.set_address(wanted.store);
+    }
+    const std::string changed = change.bounds && change.store ? "bounds, store"
+                                : change.bounds               ? "bounds"
+                                : change.store                ? "store"
+                                                              : "";
+    write_log(
+        {change.at_restart.empty() ? log_level::info : log_level::warning,
+         "node.reloaded",
+         "",
+         {{"changed", changed}, {"at_restart", boost::algorithm::join(change.at_restart, ", ")}}});
+}
+
 void sidecar::stop()
 {
     leaving_ = true;
+    settings_watch_.stop();
     store_.stop();
     outbound_.close();
     inbound_.close();
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -8,6 +8,7 @@
 #include "libsidecar/http_listener.h"
 #include "libsidecar/log_limiter.h"
 #include "libsidecar/peer_links.h"
+#include "libsidecar/settings_watch.h"
 #include "libsidecar/store_follower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,7 +24,8 @@
 class sidecar {
 public:
     /// @throws boost::system::system_error when it cannot listen
-    explicit sidecar(mesh::mesh_settings settings);
+    sidecar(mesh::mesh_settings settings, const std::string& settings_path,
+            const std::string& settings_text);
     ~sidecar();
     sidecar(const sidecar&) = delete;
     sidecar& operator=(const sidecar&) = delete;
@@ -45,6 +47,8 @@
     void on_check_in(const std::shared_ptr<http_connection>& from, std::uint64_t number,
                      const http_request& message);
     void watch_signals();
+    /// Takes over what can change in a running node; the rest is logged.
+    void reload(const std::string& settings_text);
     void stop();
     void end_when_quiet(std::chrono::steady_clock::time_point at_the_latest);
     void write_log(const mesh::log_line& line);
@@ -78,6 +82,7 @@
     http_listener control_;
     http_listener metrics_;
     boost::asio::signal_set signals_;
+    settings_watch settings_watch_;
     boost::asio::steady_timer timer_;
     /// Connections of the clients' requests that are not answered.
     std::unordered_map<std::uint64_t, std::weak_ptr<http_connection>> clients_;
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -46,6 +46,12 @@
     follow_timer_.cancel();
 }
 
+void store_follower::set_address(const mesh::listen_address& store)
+{
+    calls_.set_address(store);
+    feed_.set_address(store);
+}
+
 shell::store_counters store_follower::counters() const
 {
     auto out = calls_.counters();
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -26,6 +26,7 @@
 
     void start();
     void stop();
+    void set_address(const mesh::listen_address& store);
     /// Whether the operators' rows are read from the store, or come from other nodes alone.
     void set_following(bool follow);
     void list_nodes();
--- a/testsuite/sidecar/run.py
+++ b/testsuite/sidecar/run.py
@@ -81,14 +81,24 @@
         self.service, self.instance, self.sequence = service, instance, 0
         self.backend = standin.Backend(instance)
         self.server = standin.start_backend(self.backend, self.app_port)
-        path = os.path.join(folder, name + ".json")
-        with open(path, "w", encoding="utf-8") as file:
-            json.dump(boot_document(name, service, self.app_port, [*listen, self.peers], store_port),
-                      file)
+        self.path = path = os.path.join(folder, name + ".json")
+        self.settings = boot_document(name, service, self.app_port, [*listen, self.peers],
+                                      store_port)
+        self.write_settings(json.dumps(self.settings))
         self.log = open(os.path.join(folder, name + ".log"), "w+", encoding="utf-8")
         self.process = subprocess.Popen([program, "--platform"], stdout=self.log, stderr=self.log,
                                         env={**os.environ, "CAMPHORTALLY_BOOT": path})
 
+    def write_settings(self, text):
+        """Replaces the file as a whole, so that no node reads half of it."""
+        with open(self.path + ".new", "w", encoding="utf-8") as file:
+            file.write(text)
+        os.rename(self.path + ".new", self.path)
+
+    def events(self):
+        with open(self.log.name, encoding="utf-8") as file:
+            return [json.loads(line) for line in file if line.endswith("\n")]
+
     taken = set()
 
     @staticmethod
@@ -119,8 +129,30 @@
         return self.process.wait(timeout=LIMIT_S)
 
 
-def check(program, store, folder):
-    until("the store is up", store.is_up)
+def change_settings(node, other_store):
+    """A bad file changes nothing; another limit and another store are taken over."""
+    has = lambda name, **fields: any(
+        e["event"] == name and all(e.get(k) == v for k, v in fields.items())
+        for e in node.events())
+    node.write_settings("{")
+    until("a bad settings file is logged", lambda: has("node.bad_settings"))
+    node.settings["terms"]["bounds"]["drain_timeout_ms"] = 2500
+    node.write_settings(json.dumps(node.settings))
+    until("a limit is taken over without a signal", lambda: has("node.reloaded", changed="bounds"))
+    node.settings["platform"]["platform"]["address"] = f"127.0.0.1:{other_store.port}"
+    node.settings["network"]["listen"]["ready"] = "127.0.0.1:1"
+    node.write_settings(json.dumps(node.settings))
+    node.process.send_signal(signal.SIGHUP)
+    until("the store's new address is taken over at a signal",
+          lambda: has("node.reloaded", changed="store", at_restart="ready"))
+    for number in range(50):  # The store of the platform never falls behind what it told.
+        other_store.put("filler", f"{number}", {})
+    other_store.put("op", "config", config(9, "/c/"))
+    until("the node follows the other store", lambda: node.send("/c/", "moved")[0] != 404)
+
+
+def check(program, store, other_store, folder):
+    until("the stores are up", lambda: store.is_up() and other_store.is_up())
     store_port = store.port
     one = Node(program, folder, "n1", "s0", "i-1", store_port)
     two = Node(program, folder, "n2", "s1", "i-2", store_port)
@@ -150,6 +182,7 @@
         assert two.check_in("draining") == 200
         until("a leaving backend server gets nothing", lambda: one.send("/b/", "late")[0] == 503)
         assert max(two.backend.runs.values()) == 1, two.backend.runs
+        change_settings(one, other_store)
         assert [n.stop() for n in nodes] == [0, 0], "both end in order"
         for node in nodes:
             node.log.seek(0)
@@ -164,12 +197,13 @@
 
 
 def main():
-    store = standin.Store(os.path.abspath(sys.argv[2]), free_ports(1)[0])
+    stores = [standin.Store(os.path.abspath(sys.argv[2]), port) for port in free_ports(2)]
     try:
         with tempfile.TemporaryDirectory() as folder:
-            check(os.path.abspath(sys.argv[1]), store, folder)
+            check(os.path.abspath(sys.argv[1]), *stores, folder)
     finally:
-        store.stop()
+        for store in stores:
+            store.stop()
     print("served, changed, drained and stopped")
 
 
