Let equals take turns in placement

Change: choosing starts at another candidate for each request, so equals are chosen alike; the own backend server comes first among equals, since it saves an exchange.

A test of idle equals fails on the version before.

--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -173,6 +173,7 @@
         candidate item;
         item.node = settings_.node;
         item.same_zone = true;
+        item.is_own = true;
         item.running = queue_.running();
         item.waiting = queue_.waiting();
         item.slots = queue_.slots();
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -18,6 +18,8 @@
 constexpr double use_weight = 0.012;
 /// Extra loss of a backend server without a free slot: the wait is an estimate.
 constexpr double full_loss = 0.1;
+/// Value of an exchange with another node that is saved; decides among equals only.
+constexpr double own_gain = 0.0005;
 /// A backend server that did not serve the request once comes behind all others.
 constexpr double tried_loss = 1;
 
@@ -47,7 +49,7 @@
     const double use = static_cast<double>(load) / slots;
     return late * late_loss + overdue + item.failing + (item.same_zone ? 0 : wanted.crossing_cost) +
            use_weight * use * (0.5 + wanted.jitter) + (over > 0 ? full_loss : 0) +
-           (item.tried ? tried_loss : 0);
+           (item.tried ? tried_loss : 0) - (item.is_own ? own_gain : 0);
 }
 
 std::optional<std::size_t> choose(const std::vector<candidate>& items,
@@ -55,7 +57,10 @@
 {
     std::optional<std::size_t> best;
     double lowest = std::numeric_limits<double>::infinity();
-    for (std::size_t i = 0; i < items.size(); ++i) {
+    // From another one each time: idle equals, a newcomer among them, all get their part.
+    const auto first = static_cast<std::size_t>(wanted.jitter * static_cast<double>(items.size()));
+    for (std::size_t step = 0; step < items.size(); ++step) {
+        const auto i = (first + step) % items.size();
         const auto cost = placement_cost(items[i], wanted);
         if (cost < lowest) {
             lowest = cost;
--- a/src/libmesh/placement.h
+++ b/src/libmesh/placement.h
@@ -1,5 +1,6 @@
 // Chooses the node whose backend server runs a request. Answers a slow backend server among fast
-// ones, a failing one, a full zone beside an idle one, and knowledge that is some answers old.
+// ones, a failing one, a full zone beside an idle one, a newcomer among idle ones, and knowledge
+// that is some answers old.
 #pragma once
 
 #include <camphortally/ids.h>
@@ -14,6 +15,8 @@
 struct candidate {
     node_id node;
     bool same_zone = false;
+    /// It stands beside the node that chooses.
+    bool is_own = false;
     /// Running and waiting there: as last reported, and what this node has sent since.
     int running = 0;
     int waiting = 0;
@@ -46,7 +49,7 @@
 /// Expected loss of sending the request to `item`, as part of its value.
 double placement_cost(const candidate& item, const placement_request& wanted);
 
-/// Index of the cheapest candidate; none when there are none.
+/// Index of the cheapest candidate, any of those that cost the same; none when there are none.
 std::optional<std::size_t> choose(const std::vector<candidate>& items,
                                   const placement_request& wanted);
 
--- a/src/libmesh/placement_test.cpp
+++ b/src/libmesh/placement_test.cpp
@@ -81,6 +81,38 @@
     BOOST_TEST(*chosen == item.expected);
 }
 
+BOOST_AUTO_TEST_CASE(idle_equals_all_get_their_part)
+{
+    // A newcomer has the last name of its zone, and nothing runs there.
+    const std::vector<candidate> items{make("a", true, 0, 100ms), make("b", true, 0, 100ms),
+                                       make("new", true, 0, 100ms), make("c", false, 0, 100ms)};
+    constexpr int requests = 400;
+    std::vector<int> chosen(items.size());
+    for (int i = 0; i < requests; ++i) {
+        placement_request wanted;
+        wanted.objective_left = 400ms;
+        wanted.crossing_cost = 0.05;
+        wanted.jitter = static_cast<double>(i) / requests;
+        ++chosen.at(*choose(items, wanted));
+    }
+    BOOST_TEST(chosen.at(0) >= requests / 5);
+    BOOST_TEST(chosen.at(1) >= requests / 5);
+    BOOST_TEST(chosen.at(2) >= requests / 5);
+    BOOST_TEST(chosen.at(3) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(the_own_backend_server_comes_first_among_equals)
+{
+    std::vector<candidate> items{make("a", true, 0, 100ms), make("own", true, 0, 100ms)};
+    items.back().is_own = true;
+    for (const double jitter : {0.0, 0.4, 0.9}) {
+        placement_request wanted;
+        wanted.objective_left = 400ms;
+        wanted.jitter = jitter;
+        BOOST_TEST(*choose(items, wanted) == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(has_no_choice_without_candidates)
 {
     BOOST_TEST(!choose({}, {}).has_value());
