Read outcomes of roll-outs only beside an order, and all parts of the list of nodes

And the list of nodes stopped at the 500 rows that the store gives at once: beyond 500 nodes a newcomer did not know all others.

Ruled out: reading them at each order from the feed (a new order has no outcome yet; who writes over an unknown row gets it with the conflict).

Change: outcomes are read after a whole read of the operators' rows that holds an order; the list of nodes goes on while the answer is truncated. The effect list_nodes, which nothing made, goes.

--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -242,9 +242,6 @@
     std::int64_t read_up_to = 0;
 };
 
-/// Reads the list of nodes from the store.
-struct list_nodes {};
-
 /// Writes how a roll-out stands, while the row has the expected version (0: does not exist).
 struct write_rollout_status {
     rollout_status status;
@@ -270,9 +267,9 @@
 /// The last request is done after a SIGTERM: the process may end.
 struct may_stop {};
 
-using effect = std::variant<deliver_answer, deliver_refusal, send_to_app, drop_run, dial_peer,
-                            send_to_peer, close_link, follow_store, take_rows, list_nodes,
-                            write_rollout_status, log_line, may_stop>;
+using effect =
+    std::variant<deliver_answer, deliver_refusal, send_to_app, drop_run, dial_peer, send_to_peer,
+                 close_link, follow_store, take_rows, write_rollout_status, log_line, may_stop>;
 using effect_list = std::vector<effect>;
 
 } // namespace camphor::mesh
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -63,7 +63,6 @@
     void carry_out(const mesh::close_link& order) { peers_.close(order.link); }
     void carry_out(const mesh::follow_store& order) { store_.set_following(order.follow); }
     void carry_out(const mesh::take_rows& order) { store_.take(order); }
-    void carry_out(const mesh::list_nodes&) { store_.list_nodes(); }
     void carry_out(const mesh::write_rollout_status& order) { store_.write(order); }
     void carry_out(const mesh::log_line& line) { write_log(line); }
     void carry_out(const mesh::may_stop&) { stop(); }
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -76,33 +76,46 @@
             return;
         }
         list_nodes();
-        read_status();
     });
 }
 
 void store_follower::list_nodes()
 {
-    calls_.call(platform::read_table(platform::node_table), call_limit,
-                [this](const shell::store_reply& reply) {
-                    if (reply.status != shell::store_ok) {
-                        retry_later(reply, &store_follower::list_nodes);
-                        return;
-                    }
-                    try {
-                        mesh::nodes_listed listed;
-                        for (const auto& row : platform::read_rows(reply.body).rows) {
-                            try {
-                                listed.nodes.push_back(platform::read_node_row(row.value));
-                            } catch (const platform::bad_row& error) {
-                                log(log_level::warning, "store.bad_row",
-                                    {{"key", row.key}, {"reason", error.what()}});
-                            }
-                        }
-                        on_event_(std::move(listed));
-                    } catch (const platform::bad_store_answer& error) {
-                        retry_later({0, "", error.what(), true}, &store_follower::list_nodes);
-                    }
-                });
+    list_nodes_from("");
+}
+
+void store_follower::list_nodes_from(const std::string& first)
+{
+    const auto call = platform::read_table(platform::node_table, {first, "", 0});
+    calls_.call(call, call_limit, [this, first](const shell::store_reply& reply) {
+        if (reply.status != shell::store_ok) {
+            retry_later(reply, &store_follower::list_nodes);
+            return;
+        }
+        try {
+            const auto answer = platform::read_rows(reply.body);
+            take_nodes(answer.rows);
+            if (answer.truncated && answer.rows.size() > 1) {
+                // The last row comes again as the first of the next part.
+                list_nodes_from(answer.rows.back().key);
+            }
+        } catch (const platform::bad_store_answer& error) {
+            retry_later({0, "", error.what(), true}, &store_follower::list_nodes);
+        }
+    });
+}
+
+void store_follower::take_nodes(const std::vector<platform::store_row>& rows)
+{
+    mesh::nodes_listed listed;
+    for (const auto& row : rows) {
+        try {
+            listed.nodes.push_back(platform::read_node_row(row.value));
+        } catch (const platform::bad_row& error) {
+            log(log_level::warning, "store.bad_row", {{"key", row.key}, {"reason", error.what()}});
+        }
+    }
+    on_event_(std::move(listed));
 }
 
 void store_follower::read_status()
@@ -219,13 +232,14 @@
     try {
         const auto answer = platform::read_rows(reply.body);
         mesh::rows_read happened;
+        bool has_order = false;
         for (const auto& row : answer.rows) {
             mesh_wire::operator_row item;
             item.__set_key(row.key);
             item.__set_row_version(row.version);
             item.__set_document(row.value);
             item.__set_removed(row.removed);
-            decode(item);
+            has_order = decode(item) || has_order;
             happened.rows.push_back(std::move(item));
         }
         read_up_to_ = std::max(read_up_to_, answer.newest);
@@ -233,6 +247,10 @@
         happened.fresh = true;
         note_contact(true, reply);
         on_event_(std::move(happened));
+        if (whole_table && has_order) {
+            // The order may be an old one that has its outcome.
+            read_status();
+        }
     } catch (const platform::bad_store_answer& error) {
         retry_later({0, "", error.what(), true},
                     whole_table ? &store_follower::read_all : &store_follower::follow);
@@ -241,10 +259,10 @@
     follow();
 }
 
-void store_follower::decode(const mesh_wire::operator_row& row)
+bool store_follower::decode(const mesh_wire::operator_row& row)
 {
     if (row.removed) {
-        return;
+        return false;
     }
     try {
         auto document = platform::read_operator_row(row.key, row.document, row.row_version);
@@ -252,10 +270,12 @@
             on_event_(std::move(*config));
         } else if (auto* order = std::get_if<mesh::order_read>(&document)) {
             on_event_(std::move(*order));
+            return true;
         }
     } catch (const platform::bad_row& error) {
         log(log_level::error, "store.bad_row", {{"key", row.key}, {"reason", error.what()}});
     }
+    return false;
 }
 
 void store_follower::take(const mesh::take_rows& order)
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -29,7 +29,6 @@
     void set_address(const mesh::listen_address& store);
     /// Whether the operators' rows are read from the store, or come from other nodes alone.
     void set_following(bool follow);
-    void list_nodes();
     /// Decodes rows that another node read.
     void take(const mesh::take_rows& order);
     void write(const mesh::write_rollout_status& order);
@@ -38,12 +37,17 @@
 
 private:
     void announce();
+    void list_nodes();
+    /// Lists the nodes whose rows' keys are not less than `first`.
+    void list_nodes_from(const std::string& first);
+    void take_nodes(const std::vector<platform::store_row>& rows);
     void read_all();
     void read_status();
     void follow();
     void on_rows(const shell::store_reply& reply, bool whole_table);
     void retry_later(const shell::store_reply& reply, void (store_follower::*again)());
-    void decode(const mesh_wire::operator_row& row);
+    /// True when the row holds an order.
+    bool decode(const mesh_wire::operator_row& row);
     void note_contact(bool good, const shell::store_reply& reply);
     void log(log_level level, const std::string& name, mesh::log_fields fields);
 
