--- a/src/libshell/platform_http.cpp
+++ b/src/libshell/platform_http.cpp
@@ -107,7 +107,7 @@
 
     /// Reads one row; `next` gets its value, none when it does not exist.
     void read_row(const operation_ptr& item, const std::string& key,
-                  const std::function<void(std::optional<std::string>)>& next)
+                  const std::function<void(const std::optional<std::string>&)>& next)
     {
         const platform::row_range range{key, "", 1};
         send(item, platform::read_table(platform::resource_table, range), false,
@@ -123,15 +123,15 @@
                          held = row.value;
                      }
                  }
-                 next(std::move(held));
+                 next(held);
              });
     }
 
     void run(const operation_ptr& item, const table_read& order)
     {
-        read_row(item, order.key, [this, item, key = order.key](std::optional<std::string> held) {
+        read_row(item, order.key, [this, item, key = order.key](const auto& held) {
             if (held) {
-                item->reply.rows.push_back({key, std::move(*held)});
+                item->reply.rows.push_back({key, *held});
             }
             finish(item, platform_status::ok);
         });
@@ -190,7 +190,7 @@
 
     void check_condition(const operation_ptr& item, const table_condition& condition)
     {
-        read_row(item, condition.key, [this, item, condition](std::optional<std::string> held) {
+        read_row(item, condition.key, [this, item, condition](const auto& held) {
             if (condition.expected != held) {
                 item->reply.failed_keys = {condition.key};
                 finish(item, platform_status::conflict);
@@ -319,7 +319,7 @@
     std::unordered_map<std::string, known_row> known_;
 };
 
-platform_http::platform_http(boost::asio::io_context& io, platform_settings settings)
+platform_http::platform_http(boost::asio::io_context& io, const platform_settings& settings)
     : self_(std::make_shared<implementation>(io, settings))
 {
 }
--- a/src/libshell/platform_http.h
+++ b/src/libshell/platform_http.h
@@ -39,7 +39,7 @@
 public:
     using reply_function = std::function<void(platform_reply)>;
 
-    platform_http(boost::asio::io_context& io, platform_settings settings);
+    platform_http(boost::asio::io_context& io, const platform_settings& settings);
     ~platform_http();
     platform_http(const platform_http&) = delete;
     platform_http& operator=(const platform_http&) = delete;
--- a/src/standins/platform_table.cpp
+++ b/src/standins/platform_table.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 using nlohmann::json;
-using platform::store_row;
 using platform::store_rows;
 
 /// Limits of the published protocol.
