Walk over a copy of the connections when the store moves

Cause: read in the landing: a call that ends as the store's address changes may start others, and with several connections that grew the list being walked over. Not reachable today: only clients with one connection move.

Change: the walk is over a copy.

--- a/src/libshell/store_client.cpp
+++ b/src/libshell/store_client.cpp
@@ -335,7 +335,9 @@
 void store_client::set_address(mesh::listen_address address)
 {
     self_->address = std::move(address);
-    for (const auto& each : self_->all) {
+    // A call that ends may start others, and connections for them.
+    const auto lanes = self_->all;
+    for (const auto& each : lanes) {
         if (const auto lane = each.lock()) {
             lane->move();
         }
