Read the change over: one list of candidates, one way to try again, nothing unused

Cause: the whole change read once more. Twins and dead parts found: a list of backend servers kept beside each list of candidates (place, wait_somewhere, hedge); on_failed and on_not_executed; the search for a run by its origin, twice; the loop that sends roll-outs' shares, three times; the one over the own zone's links, twice; the same empty handlers in three listeners; the check of a store call's turn, three times; a test's write by another node, twice. Declared and never used: own_candidate, wait_of_last, the frame crash_report. A bare 500 ms.

Ruled out: one piece for the connections' head lines of app_client, peer_links and store_client (alike in shape only); for the reading errors of http_listener's head and body (they differ in what they refuse).

Change: a candidate names its backend server and release; try_again, find_run, send_to_zone, send_shares and goes_on serve both sides; handlers have defaults; what was unused goes, also from the generated code.

Conclusion: behaviour unchanged.

--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -102,11 +102,7 @@
 void node::take(const rollout_status_written& happened)
 {
     rollouts_.on_written(happened, now_);
-    for (const auto& share : rollouts_.shares()) {
-        mesh_wire::mesh_frame frame;
-        frame.__set_share(share);
-        send_to_all(frame);
-    }
+    send_shares(rollouts_.shares());
 }
 
 void node::take(const stop_asked&)
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -112,8 +112,11 @@
 
     /// Who asked for a run.
     struct run_origin {
+        /// None for a call of this node.
         std::optional<link_id> link;
         attempt_id id;
+
+        bool operator==(const run_origin&) const = default;
     };
 
     struct run_state {
@@ -168,16 +171,15 @@
     duration waited_before(const route& way, milliseconds patience);
     void place(call_state& call);
     /// No slot is free: asks for a place in the queue where the wait is shortest.
-    void wait_somewhere(call_state& call, const std::vector<candidate>& all,
-                        const std::vector<const backend*>& apps, const placement_request& wanted);
-    std::vector<candidate> candidates(const call_state& call, std::vector<const backend*>& apps);
-    std::optional<candidate> own_candidate(const call_state& call) const;
+    void wait_somewhere(call_state& call, std::vector<candidate> queues,
+                        const placement_request& wanted);
+    std::vector<candidate> candidates(const call_state& call) const;
     bool fits(const backend& app, const call_state& call) const;
-    void send(call_state& call, const candidate& to, const backend& app, bool may_wait);
+    void send(call_state& call, const candidate& to, bool may_wait);
     void on_result(attempt_id id, const run_result& result);
     void on_refused(call_state& call, const attempt& tried, const run_result& result);
-    void on_not_executed(call_state& call, const run_result& result);
-    void on_failed(call_state& call, const run_result& result);
+    /// A backend server had the call and did not serve it: sends it once more if `allowed`.
+    void try_again(call_state& call, const run_result& result, bool allowed);
     bool may_retry(call_state& call, duration expected);
     /// Sends safe requests whose answer seems lost to a second owner with a free slot.
     void hedge_overdue();
@@ -200,6 +202,7 @@
     void start_run(run_id id);
     void finish_run(run_id id, const run_result& result, bool learned);
     void refuse_waiting(const std::string& reason);
+    std::map<run_id, run_state>::iterator find_run(const run_origin& origin);
     void cancel_run(const run_origin& origin);
     void start_waiting();
     bool has_left(const backend_checked_in& happened);
@@ -244,6 +247,8 @@
     /// The holder repeats how roll-outs stand, so that the others know that it lives.
     void tell_shares();
     void send_to_all(const mesh_wire::mesh_frame& frame);
+    void send_to_zone(const mesh_wire::mesh_frame& frame);
+    void send_shares(const std::vector<mesh_wire::rollout_share>& shares);
 
     mesh_settings settings_;
     mesh_wire::node_record record_;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -39,6 +39,8 @@
 constexpr int patience_spread_percent = 15;
 /// Named to clients when nothing is known of the time until a request could be served.
 constexpr auto unknown_wait = 1s;
+/// Named to clients of a node that cannot route yet or any more: a start takes some hundred ms.
+constexpr milliseconds early_refusal_wait{500};
 
 std::string name_of(mesh_wire::run_outcome::type outcome)
 {
@@ -76,7 +78,7 @@
              {"config_version", std::to_string(config_ ? config_->version().value() : 0)}});
         std::optional<milliseconds> retry_after;
         if (status == 503) {
-            retry_after = 500ms;
+            retry_after = early_refusal_wait;
         }
         out_.emplace_back(deliver_refusal{happened.call, status, reason, retry_after});
     };
@@ -166,12 +168,14 @@
     return rollouts_.allows(app.service, app.release, call.release);
 }
 
-std::vector<candidate> node::candidates(const call_state& call, std::vector<const backend*>& apps)
+std::vector<candidate> node::candidates(const call_state& call) const
 {
     std::vector<candidate> out;
     if (own_ && !stopping_ && fits(*own_, call)) {
         candidate item;
         item.node = settings_.node;
+        item.backend = own_->id;
+        item.release = own_->release;
         item.same_zone = true;
         item.is_own = true;
         item.running = queue_.running();
@@ -180,8 +184,7 @@
         item.hold = queue_.hold(call.way->name, queue_.mean_hold());
         item.failing = failing_;
         item.tried = call.tried.contains(own_->id);
-        out.push_back(item);
-        apps.push_back(&*own_);
+        out.push_back(std::move(item));
     }
     for (const auto& [name, other] : peers_.all()) {
         if (!other.link || !other.app || other.stopping || is_silent(other) ||
@@ -190,7 +193,9 @@
         }
         candidate item;
         item.node = name;
-        item.same_zone = other.record.zone == settings_.zone.value();
+        item.backend = other.app->id;
+        item.release = other.app->release;
+        item.same_zone = in_own_zone(other);
         item.running = other.space.running + other.space.sent_since;
         item.waiting = other.space.waiting;
         item.slots = other.app->slots;
@@ -206,8 +211,7 @@
         }
         item.failing = other.space.failing;
         item.tried = call.tried.contains(other.app->id);
-        out.push_back(item);
-        apps.push_back(&*other.app);
+        out.push_back(std::move(item));
     }
     return out;
 }
@@ -230,13 +234,12 @@
 
 void node::place(call_state& call)
 {
-    std::vector<const backend*> apps;
-    auto all = candidates(call, apps);
+    auto all = candidates(call);
     if (all.empty()) {
         // Only one release of a service in a roll-out may have backend servers left.
         const auto target = rollouts_.running_target(call.service);
         call.release = call.release ? std::nullopt : target;
-        all = candidates(call, apps);
+        all = candidates(call);
     }
     if (all.empty()) {
         give_up(call, "no_backend");
@@ -248,33 +251,28 @@
     wanted.jitter = random_part();
     // First those that seem to have a free slot; a wrong guess costs one short exchange.
     std::vector<candidate> open;
-    std::vector<const backend*> open_apps;
-    for (std::size_t i = 0; i < all.size(); ++i) {
-        const bool free = expected_load(all[i]) < all[i].slots && !all[i].no_free_slot;
-        const bool again = all[i].tried && all.size() > call.tried.size();
-        if (free && !again && !call.refused_by.contains(all[i].node)) {
-            open.push_back(all[i]);
-            open_apps.push_back(apps[i]);
+    for (const auto& item : all) {
+        const bool free = expected_load(item) < item.slots && !item.no_free_slot;
+        const bool again = item.tried && all.size() > call.tried.size();
+        if (free && !again && !call.refused_by.contains(item.node)) {
+            open.push_back(item);
         }
     }
     const auto chosen = choose(open, wanted);
     if (chosen && call.full.empty() && call.refused_by.size() < most_refusals) {
-        send(call, open[*chosen], *open_apps[*chosen], false);
+        send(call, open[*chosen], false);
         return;
     }
-    wait_somewhere(call, all, apps, wanted);
+    wait_somewhere(call, std::move(all), wanted);
 }
 
-void node::wait_somewhere(call_state& call, const std::vector<candidate>& all,
-                          const std::vector<const backend*>& apps, const placement_request& wanted)
+void node::wait_somewhere(call_state& call, std::vector<candidate> queues,
+                          const placement_request& wanted)
 {
-    std::vector<candidate> queues;
-    std::vector<const backend*> queue_apps;
-    for (std::size_t i = 0; i < all.size(); ++i) {
-        if (call.full.contains(all[i].node) || all[i].no_queue_place) {
-            continue;
-        }
-        auto item = all[i];
+    std::erase_if(queues, [&](const candidate& item) {
+        return call.full.contains(item.node) || item.no_queue_place;
+    });
+    for (auto& item : queues) {
         const auto refused = call.refused_by.find(item.node);
         if (refused != call.refused_by.end()) {
             const auto per_slot = std::max(item.hold / std::max(item.slots, 1), duration(1));
@@ -282,31 +280,29 @@
             item.running = std::max(item.running, item.slots);
             item.waiting = std::max(item.waiting, static_cast<int>(refused->second / per_slot));
         }
-        queues.push_back(item);
-        queue_apps.push_back(apps[i]);
     }
     const auto best = choose(queues, wanted);
     if (!best || call.full.size() >= most_full) {
         refuse(call, "overload");
         return;
     }
-    send(call, queues[*best], *queue_apps[*best], true);
+    send(call, queues[*best], true);
 }
 
-void node::send(call_state& call, const candidate& to, const backend& app, bool may_wait)
+void node::send(call_state& call, const candidate& to, bool may_wait)
 {
     attempt made;
     made.id = attempt_id{++last_attempt_};
     made.owner = to.node;
-    made.backend = app.id;
-    made.release = app.release;
+    made.backend = to.backend;
+    made.release = to.release;
     made.started = now_;
     made.may_wait = may_wait;
     const auto id = made.id;
     const auto call_key = call.call;
     mesh_wire::run_request wanted;
     wanted.__set_call(static_cast<std::int64_t>(id.value()));
-    wanted.__set_backend(app.id.value());
+    wanted.__set_backend(to.backend.value());
     wanted.__set_route(call.way->name.value());
     wanted.__set_caller_service(settings_.service.value());
     wanted.__set_rank(call.way->priority);
@@ -371,7 +367,7 @@
             call.may_have_run = true;
             ++call.arrivals;
             call.failed_answer = result.content;
-            on_failed(call, result);
+            try_again(call, result, true);
             return;
         }
         ++counters_.delivered;
@@ -400,12 +396,12 @@
         return;
     case mesh_wire::run_outcome::not_executed:
         ++call.arrivals;
-        on_not_executed(call, result);
+        try_again(call, result, true);
         return;
     case mesh_wire::run_outcome::failed:
         call.may_have_run = true;
         ++call.arrivals;
-        on_failed(call, result);
+        try_again(call, result, call.way->safe);
         return;
     }
 }
@@ -446,22 +442,7 @@
     return true;
 }
 
-void node::on_not_executed(call_state& call, const run_result& result)
-{
-    call.last_reason = result.reason;
-    if (!call.attempts.empty()) {
-        return;
-    }
-    call.refused_by.clear();
-    call.full.clear();
-    if (may_retry(call, queue_.mean_hold())) {
-        place(call);
-        return;
-    }
-    give_up(call, "not_executed");
-}
-
-void node::on_failed(call_state& call, const run_result& result)
+void node::try_again(call_state& call, const run_result& result, bool allowed)
 {
     call.last_reason = result.reason;
     if (!call.attempts.empty()) {
@@ -469,11 +450,12 @@
     }
     call.refused_by.clear();
     call.full.clear();
-    if (call.way->safe && may_retry(call, queue_.mean_hold())) {
+    if (allowed && may_retry(call, queue_.mean_hold())) {
         place(call);
         return;
     }
-    give_up(call, "failed");
+    const bool shed = result.outcome == mesh_wire::run_outcome::not_executed;
+    give_up(call, shed ? "not_executed" : "failed");
 }
 
 bool node::is_overdue(const call_state& call) const
@@ -512,17 +494,11 @@
 
 void node::hedge(call_state& call)
 {
-    std::vector<const backend*> apps;
-    const auto all = candidates(call, apps);
-    std::vector<candidate> free;
-    std::vector<const backend*> free_apps;
-    for (std::size_t i = 0; i < all.size(); ++i) {
-        if (all[i].node != call.attempts.front().owner && all[i].failing < worst_hedge &&
-            expected_load(all[i]) < all[i].slots && !all[i].tried) {
-            free.push_back(all[i]);
-            free_apps.push_back(apps[i]);
-        }
-    }
+    auto free = candidates(call);
+    std::erase_if(free, [&](const candidate& item) {
+        return item.node == call.attempts.front().owner || item.failing >= worst_hedge ||
+               expected_load(item) >= item.slots || item.tried;
+    });
     placement_request wanted;
     wanted.objective_left = call.deadline - now_;
     wanted.crossing_cost = crossing_cost(call);
@@ -535,7 +511,7 @@
         {{"first_owner", call.attempts.front().owner.value()},
          {"second_owner", free[*best].node.value()},
          {"after_ms", millis(now_ - call.attempts.front().started)}});
-    send(call, free[*best], *free_apps[*best], false);
+    send(call, free[*best], false);
 }
 
 void node::give_up(call_state& call, const std::string& reason)
@@ -602,14 +578,11 @@
 {
     auto& call = calls_.at(id);
     for (const auto& item : call.attempts) {
-        // An owner that was asked last may have started it.
-        const bool own = item.owner == settings_.node;
-        const auto run = std::find_if(runs_.begin(), runs_.end(), [&](const auto& entry) {
-            return own && !entry.second.origin.link && entry.second.origin.id == item.id;
-        });
-        if (!own || run == runs_.end() || run->second.sent) {
-            call.may_have_run = true;
-        }
+        // Another owner may have started it; the own one has when it is sent.
+        const auto run = find_run({std::nullopt, item.id});
+        const bool waits_here =
+            item.owner == settings_.node && run != runs_.end() && !run->second.sent;
+        call.may_have_run = call.may_have_run || !waits_here;
     }
     give_up(call, "deadline");
 }
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -15,12 +15,6 @@
 /// Sent to the backend server less than this before the deadline a request cannot be served.
 constexpr auto least_time = 5ms;
 
-bool same_origin(const std::optional<link_id>& left_link, attempt_id left,
-                 const std::optional<link_id>& right_link, attempt_id right)
-{
-    return left_link == right_link && left == right;
-}
-
 } // namespace
 
 void node::offer_run(const run_origin& origin, const mesh_wire::run_request& wanted,
@@ -217,12 +211,15 @@
     }
 }
 
+std::map<run_id, node::run_state>::iterator node::find_run(const run_origin& origin)
+{
+    return std::find_if(runs_.begin(), runs_.end(),
+                        [&](const auto& entry) { return entry.second.origin == origin; });
+}
+
 void node::cancel_run(const run_origin& origin)
 {
-    const auto found = std::find_if(runs_.begin(), runs_.end(), [&](const auto& entry) {
-        return same_origin(entry.second.origin.link, entry.second.origin.id, origin.link,
-                           origin.id);
-    });
+    const auto found = find_run(origin);
     if (found == runs_.end()) {
         return;
     }
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -289,6 +289,24 @@
     }
 }
 
+void node::send_to_zone(const mesh_wire::mesh_frame& frame)
+{
+    for (const auto& [name, other] : peers_.all()) {
+        if (other.link && in_own_zone(other)) {
+            send_frame(*other.link, frame);
+        }
+    }
+}
+
+void node::send_shares(const std::vector<mesh_wire::rollout_share>& shares)
+{
+    for (const auto& share : shares) {
+        mesh_wire::mesh_frame frame;
+        frame.__set_share(share);
+        send_to_all(frame);
+    }
+}
+
 std::optional<node_id> node::rollout_holder() const
 {
     std::optional<node_id> first;
@@ -342,11 +360,7 @@
     for (auto& line : decided.lines) {
         out_.emplace_back(std::move(line));
     }
-    for (const auto& share : decided.shares) {
-        mesh_wire::mesh_frame frame;
-        frame.__set_share(share);
-        send_to_all(frame);
-    }
+    send_shares(decided.shares);
     for (auto& write : decided.writes) {
         out_.emplace_back(std::move(write));
     }
@@ -446,11 +460,7 @@
     if (rollout_holder() != settings_.node || !rollouts_.any_running()) {
         return;
     }
-    for (const auto& share : rollouts_.shares()) {
-        mesh_wire::mesh_frame frame;
-        frame.__set_share(share);
-        send_to_all(frame);
-    }
+    send_shares(rollouts_.shares());
 }
 
 void node::take(const rows_read& happened)
@@ -519,11 +529,7 @@
     push.__set_read_up_to(read_up_to_);
     mesh_wire::mesh_frame frame;
     frame.__set_rows(push);
-    for (const auto& [name, other] : peers_.all()) {
-        if (other.link && in_own_zone(other)) {
-            send_frame(*other.link, frame);
-        }
-    }
+    send_to_zone(frame);
 }
 
 void node::choose_watcher()
@@ -553,11 +559,7 @@
     next_ping_ = now_ + watcher_ping;
     mesh_wire::mesh_frame frame;
     frame.__set_ping(false);
-    for (const auto& [name, other] : peers_.all()) {
-        if (other.link && in_own_zone(other)) {
-            send_frame(*other.link, frame);
-        }
-    }
+    send_to_zone(frame);
 }
 
 void node::ping_owing()
--- a/src/libmesh/placement.h
+++ b/src/libmesh/placement.h
@@ -14,6 +14,8 @@
 /// One backend server that could run the request.
 struct candidate {
     node_id node;
+    backend_id backend;
+    release_id release;
     bool same_zone = false;
     /// It stands beside the node that chooses.
     bool is_own = false;
--- a/src/libmesh/slot_queue.cpp
+++ b/src/libmesh/slot_queue.cpp
@@ -28,11 +28,6 @@
     return work / std::max(slots_, 1);
 }
 
-duration slot_queue::wait_of_last() const
-{
-    return free_slots() > 0 && waiting_.empty() ? duration{} : wait_behind(waiting_.end());
-}
-
 slot_queue::waiting_key slot_queue::key_of(const slot_request& item, time_point now) const
 {
     const bool late = now + hold(item.route, mean_hold()) > item.objective;
--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -59,8 +59,6 @@
     /// Time that a request of the route holds a slot.
     duration hold(const route_id& name, duration prior) const { return holds_.of(name, prior); }
     duration mean_hold() const { return holds_.mean(first_hold); }
-    /// Time until a request that waits behind all others gets a slot.
-    duration wait_of_last() const;
     /// Forgets what was learned: another backend server has the address.
     void forget() { holds_.clear(); }
 
--- a/src/libshell/platform_http_test.cpp
+++ b/src/libshell/platform_http_test.cpp
@@ -99,6 +99,16 @@
      platform_status::not_found},
 };
 
+/// None when no reply comes.
+std::optional<platform_reply> call(boost::asio::io_context& io, platform_http& platform,
+                                   const platform_request& request)
+{
+    std::optional<platform_reply> reply;
+    platform.call(request, [&](platform_reply got) { reply = std::move(got); });
+    test::run_until(io, [&] { return reply.has_value(); });
+    return reply;
+}
+
 std::optional<platform_reply> call(boost::asio::io_context& io, std::uint16_t port,
                                    const platform_request& request)
 {
@@ -106,10 +116,7 @@
     settings.host = "127.0.0.1";
     settings.port = port;
     platform_http platform(io, settings);
-    std::optional<platform_reply> reply;
-    platform.call(request, [&](platform_reply got) { reply = std::move(got); });
-    test::run_until(io, [&] { return reply.has_value(); });
-    return reply;
+    return call(io, platform, request);
 }
 
 } // namespace
@@ -137,11 +144,7 @@
 struct stored_table {
     platform_reply call(const platform_request& request)
     {
-        std::optional<platform_reply> reply;
-        table->call(request, [&](platform_reply got) { reply = std::move(got); });
-        test::run_until(io, [&] { return reply.has_value(); });
-        BOOST_REQUIRE(reply.has_value());
-        return *reply;
+        return shell::call(io, *table, request).value();
     }
 
     /// A second node's view, which remembers nothing of what the first one saw.
@@ -215,10 +218,7 @@
     stored_table one;
     one.call(table_transact{{}, {{"a", "1"}}});
     platform_http other(one.io, one.settings);
-    std::optional<platform_reply> rewritten;
-    other.call(table_transact{{}, {{"a", "1"}}},
-               [&](platform_reply reply) { rewritten = std::move(reply); });
-    test::run_until(one.io, [&] { return rewritten.has_value(); });
+    call(one.io, other, table_transact{{}, {{"a", "1"}}});
     BOOST_TEST((one.call(change("a", "1", "2")).status == platform_status::ok));
 }
 
@@ -227,10 +227,7 @@
     stored_table one;
     one.call(table_transact{{}, {{"a", "1"}}});
     platform_http other(one.io, one.settings);
-    std::optional<platform_reply> rewritten;
-    other.call(table_transact{{}, {{"a", "2"}}},
-               [&](platform_reply reply) { rewritten = std::move(reply); });
-    test::run_until(one.io, [&] { return rewritten.has_value(); });
+    call(one.io, other, table_transact{{}, {{"a", "2"}}});
     BOOST_TEST((one.call(change("a", "1", "3")).status == platform_status::conflict));
     BOOST_TEST((one.call(change("a", "2", "3")).status == platform_status::ok));
 }
--- a/src/libshell/store_client.cpp
+++ b/src/libshell/store_client.cpp
@@ -152,6 +152,16 @@
         });
     }
 
+    /// Whether the call of turn `mine` is still under way; an error ends it.
+    bool goes_on(std::uint64_t mine, error_code error)
+    {
+        if (mine == turn_ && error) {
+            finish({0, "", error.message(), sent_}, false);
+            return false;
+        }
+        return mine == turn_;
+    }
+
     void connect()
     {
         const auto owner = owner_.lock();
@@ -161,19 +171,13 @@
         const auto host = asio::ip::make_address(owner->address.host, bad_address);
         if (bad_address) {
             asio::post(owner->io, [self = shared_from_this(), mine = turn_, bad_address] {
-                if (mine == self->turn_) {
-                    self->finish({0, "", bad_address.message(), false}, false);
-                }
+                self->goes_on(mine, bad_address);
             });
             return;
         }
         socket_.async_connect({host, owner->address.port},
                               [self = shared_from_this(), mine = turn_](error_code error) {
-                                  if (mine != self->turn_) {
-                                      return;
-                                  }
-                                  if (error) {
-                                      self->finish({0, "", error.message(), false}, false);
+                                  if (!self->goes_on(mine, error)) {
                                       return;
                                   }
                                   set_tcp_options(self->socket_, silence_check::prompt);
@@ -194,14 +198,9 @@
             socket_, *message,
             [self = shared_from_this(), message, mine = turn_](error_code error, std::size_t size) {
                 self->count(size);
-                if (mine != self->turn_) {
-                    return;
-                }
-                if (error) {
-                    self->finish({0, "", error.message(), true}, false);
-                    return;
+                if (self->goes_on(mine, error)) {
+                    self->read();
                 }
-                self->read();
             });
     }
 
@@ -213,11 +212,7 @@
             socket_, input_, *parser_,
             [self = shared_from_this(), mine = turn_](error_code error, std::size_t size) {
                 self->count(size);
-                if (mine != self->turn_) {
-                    return;
-                }
-                if (error) {
-                    self->finish({0, "", error.message(), true}, false);
+                if (!self->goes_on(mine, error)) {
                     return;
                 }
                 auto& message = self->parser_->get();
--- a/src/libsidecar/http_listener.h
+++ b/src/libsidecar/http_listener.h
@@ -28,9 +28,12 @@
     std::function<void(const std::shared_ptr<http_connection>&, std::uint64_t, http_request&&)>
         on_request;
     /// The client closed its connection while the request was not answered.
-    std::function<void(std::uint64_t)> on_gone;
+    std::function<void(std::uint64_t)> on_gone = [](std::uint64_t) {
+    };
     /// True once answers shall close their connections.
-    std::function<bool()> is_closing;
+    std::function<bool()> is_closing = [] {
+        return false;
+    };
 };
 
 struct http_limits {
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -134,11 +134,6 @@
     out.on_request = [this](const auto& from, std::uint64_t number, const http_request& message) {
         on_check_in(from, number, message);
     };
-    out.on_gone = [](std::uint64_t) {
-    };
-    out.is_closing = [] {
-        return false;
-    };
     return out;
 }
 
@@ -152,11 +147,6 @@
         reply.status = !asked ? 404 : node_.is_ready() ? 200 : 503;
         from->respond(number, std::move(reply));
     };
-    out.on_gone = [](std::uint64_t) {
-    };
-    out.is_closing = [] {
-        return false;
-    };
     return out;
 }
 
@@ -169,11 +159,6 @@
         reply.body = render_metrics();
         from->respond(number, std::move(reply));
     };
-    out.on_gone = [](std::uint64_t) {
-    };
-    out.is_closing = [] {
-        return false;
-    };
     return out;
 }
 
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -2887,129 +2887,6 @@
 }
 
 
-crash_report::~crash_report() noexcept {
-}
-
-
-void crash_report::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
-}
-
-void crash_report::__set_backend(const std::string& val) {
-  this->backend = val;
-}
-std::ostream& operator<<(std::ostream& out, const crash_report& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t crash_report::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->backend);
-          this->__isset.backend = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t crash_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("crash_report");
-
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->fingerprint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->backend);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(crash_report &a, crash_report &b) {
-  using ::std::swap;
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.backend, b.backend);
-  swap(a.__isset, b.__isset);
-}
-
-crash_report::crash_report(const crash_report& other81) {
-  fingerprint = other81.fingerprint;
-  backend = other81.backend;
-  __isset = other81.__isset;
-}
-crash_report::crash_report(crash_report&& other82) noexcept {
-  fingerprint = other82.fingerprint;
-  backend = std::move(other82.backend);
-  __isset = other82.__isset;
-}
-crash_report& crash_report::operator=(const crash_report& other83) {
-  fingerprint = other83.fingerprint;
-  backend = other83.backend;
-  __isset = other83.__isset;
-  return *this;
-}
-crash_report& crash_report::operator=(crash_report&& other84) noexcept {
-  fingerprint = other84.fingerprint;
-  backend = std::move(other84.backend);
-  __isset = other84.__isset;
-  return *this;
-}
-void crash_report::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "crash_report(";
-  out << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "backend=" << to_string(backend);
-  out << ")";
-}
-
-
 mesh_frame::~mesh_frame() noexcept {
 }
 
@@ -3054,11 +2931,6 @@
 __isset.share = true;
 }
 
-void mesh_frame::__set_crash(const crash_report& val) {
-  this->crash = val;
-__isset.crash = true;
-}
-
 void mesh_frame::__set_ping(const bool val) {
   this->ping = val;
 __isset.ping = true;
@@ -3155,14 +3027,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->crash.read(iprot);
-          this->__isset.crash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->ping);
@@ -3228,11 +3092,6 @@
     xfer += this->share.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.crash) {
-    xfer += oprot->writeFieldBegin("crash", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->crash.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.ping) {
     xfer += oprot->writeFieldBegin("ping", ::apache::thrift::protocol::T_BOOL, 10);
     xfer += oprot->writeBool(this->ping);
@@ -3253,63 +3112,58 @@
   swap(a.pull, b.pull);
   swap(a.report, b.report);
   swap(a.share, b.share);
-  swap(a.crash, b.crash);
   swap(a.ping, b.ping);
   swap(a.__isset, b.__isset);
 }
 
-mesh_frame::mesh_frame(const mesh_frame& other85) {
-  state = other85.state;
-  run = other85.run;
-  answer = other85.answer;
-  cancel = other85.cancel;
-  rows = other85.rows;
-  pull = other85.pull;
-  report = other85.report;
-  share = other85.share;
-  crash = other85.crash;
-  ping = other85.ping;
-  __isset = other85.__isset;
-}
-mesh_frame::mesh_frame(mesh_frame&& other86) noexcept {
-  state = std::move(other86.state);
-  run = std::move(other86.run);
-  answer = std::move(other86.answer);
-  cancel = std::move(other86.cancel);
-  rows = std::move(other86.rows);
-  pull = std::move(other86.pull);
-  report = std::move(other86.report);
-  share = std::move(other86.share);
-  crash = std::move(other86.crash);
-  ping = other86.ping;
-  __isset = other86.__isset;
-}
-mesh_frame& mesh_frame::operator=(const mesh_frame& other87) {
-  state = other87.state;
-  run = other87.run;
-  answer = other87.answer;
-  cancel = other87.cancel;
-  rows = other87.rows;
-  pull = other87.pull;
-  report = other87.report;
-  share = other87.share;
-  crash = other87.crash;
-  ping = other87.ping;
-  __isset = other87.__isset;
+mesh_frame::mesh_frame(const mesh_frame& other81) {
+  state = other81.state;
+  run = other81.run;
+  answer = other81.answer;
+  cancel = other81.cancel;
+  rows = other81.rows;
+  pull = other81.pull;
+  report = other81.report;
+  share = other81.share;
+  ping = other81.ping;
+  __isset = other81.__isset;
+}
+mesh_frame::mesh_frame(mesh_frame&& other82) noexcept {
+  state = std::move(other82.state);
+  run = std::move(other82.run);
+  answer = std::move(other82.answer);
+  cancel = std::move(other82.cancel);
+  rows = std::move(other82.rows);
+  pull = std::move(other82.pull);
+  report = std::move(other82.report);
+  share = std::move(other82.share);
+  ping = other82.ping;
+  __isset = other82.__isset;
+}
+mesh_frame& mesh_frame::operator=(const mesh_frame& other83) {
+  state = other83.state;
+  run = other83.run;
+  answer = other83.answer;
+  cancel = other83.cancel;
+  rows = other83.rows;
+  pull = other83.pull;
+  report = other83.report;
+  share = other83.share;
+  ping = other83.ping;
+  __isset = other83.__isset;
   return *this;
 }
-mesh_frame& mesh_frame::operator=(mesh_frame&& other88) noexcept {
-  state = std::move(other88.state);
-  run = std::move(other88.run);
-  answer = std::move(other88.answer);
-  cancel = std::move(other88.cancel);
-  rows = std::move(other88.rows);
-  pull = std::move(other88.pull);
-  report = std::move(other88.report);
-  share = std::move(other88.share);
-  crash = std::move(other88.crash);
-  ping = other88.ping;
-  __isset = other88.__isset;
+mesh_frame& mesh_frame::operator=(mesh_frame&& other84) noexcept {
+  state = std::move(other84.state);
+  run = std::move(other84.run);
+  answer = std::move(other84.answer);
+  cancel = std::move(other84.cancel);
+  rows = std::move(other84.rows);
+  pull = std::move(other84.pull);
+  report = std::move(other84.report);
+  share = std::move(other84.share);
+  ping = other84.ping;
+  __isset = other84.__isset;
   return *this;
 }
 void mesh_frame::printTo(std::ostream& out) const {
@@ -3323,7 +3177,6 @@
   out << ", " << "pull="; (__isset.pull ? (out << to_string(pull)) : (out << "<null>"));
   out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ", " << "share="; (__isset.share ? (out << to_string(share)) : (out << "<null>"));
-  out << ", " << "crash="; (__isset.crash ? (out << to_string(crash)) : (out << "<null>"));
   out << ", " << "ping="; (__isset.ping ? (out << to_string(ping)) : (out << "<null>"));
   out << ")";
 }
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -64,8 +64,6 @@
 
 class rollout_share;
 
-class crash_report;
-
 class mesh_frame;
 
 typedef struct _owner_load__isset {
@@ -1123,60 +1121,8 @@
 
 std::ostream& operator<<(std::ostream& out, const rollout_share& obj);
 
-typedef struct _crash_report__isset {
-  _crash_report__isset() : fingerprint(false), backend(false) {}
-  bool fingerprint :1;
-  bool backend :1;
-} _crash_report__isset;
-
-class crash_report : public virtual ::apache::thrift::TBase {
- public:
-
-  crash_report(const crash_report&);
-  crash_report(crash_report&&) noexcept;
-  crash_report& operator=(const crash_report&);
-  crash_report& operator=(crash_report&&) noexcept;
-  crash_report() noexcept
-               : fingerprint(0),
-                 backend() {
-  }
-
-  virtual ~crash_report() noexcept;
-  int64_t fingerprint;
-  std::string backend;
-
-  _crash_report__isset __isset;
-
-  void __set_fingerprint(const int64_t val);
-
-  void __set_backend(const std::string& val);
-
-  bool operator == (const crash_report & rhs) const
-  {
-    if (!(fingerprint == rhs.fingerprint))
-      return false;
-    if (!(backend == rhs.backend))
-      return false;
-    return true;
-  }
-  bool operator != (const crash_report &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const crash_report & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(crash_report &a, crash_report &b);
-
-std::ostream& operator<<(std::ostream& out, const crash_report& obj);
-
 typedef struct _mesh_frame__isset {
-  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), crash(false), ping(false) {}
+  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false) {}
   bool state :1;
   bool run :1;
   bool answer :1;
@@ -1185,7 +1131,6 @@
   bool pull :1;
   bool report :1;
   bool share :1;
-  bool crash :1;
   bool ping :1;
 } _mesh_frame__isset;
 
@@ -1209,7 +1154,6 @@
   rows_pull pull;
   evidence report;
   rollout_share share;
-  crash_report crash;
   bool ping;
 
   _mesh_frame__isset __isset;
@@ -1230,8 +1174,6 @@
 
   void __set_share(const rollout_share& val);
 
-  void __set_crash(const crash_report& val);
-
   void __set_ping(const bool val);
 
   bool operator == (const mesh_frame & rhs) const
@@ -1268,10 +1210,6 @@
       return false;
     else if (__isset.share && !(share == rhs.share))
       return false;
-    if (__isset.crash != rhs.__isset.crash)
-      return false;
-    else if (__isset.crash && !(crash == rhs.crash))
-      return false;
     if (__isset.ping != rhs.__isset.ping)
       return false;
     else if (__isset.ping && !(ping == rhs.ping))
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -157,12 +157,6 @@
   7: i32 phase
 }
 
-// A request that was at work when its backend server died.
-struct crash_report {
-  1: i64 fingerprint
-  2: string backend
-}
-
 struct mesh_frame {
   1: optional node_state state
   2: optional run_request run
@@ -172,6 +166,5 @@
   6: optional rows_pull pull
   7: optional evidence report
   8: optional rollout_share share
-  9: optional crash_report crash
   10: optional bool ping
 }
