Remove a hint that was never used

Cause: owners of other zones that had refused were to be left alone for half the wait they named. The condition compared a time that was not set yet, so it never held: two fields, two flags and two constants without effect.

Ruled out: making it work.

Change: the hint goes.

Conclusion: the bytes of refused requests between zones are still worth a look, with another rule.

--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -41,10 +41,6 @@
     time_point reported_at{};
     /// Requests sent since the report.
     int sent_since = 0;
-    /// It named a wait for a free slot that lasts until then.
-    time_point full_until{};
-    /// It had no place in its queue either; room there is not expected before.
-    time_point queue_full_until{};
 };
 
 struct peer {
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -12,10 +12,6 @@
 
 /// Owners that are asked for a free slot before the call waits at one.
 constexpr std::size_t most_refusals = 4;
-/// An owner that refused is left alone for its named wait divided by this: the wait is a mean.
-constexpr int named_wait_divisor = 2;
-/// A request that holds a slot for the mean time divided by this is short.
-constexpr int short_ratio = 2;
 /// An answer is overdue after this many times the usual; of the usual work a few in a hundred take
 /// longer.
 constexpr int overdue_holds = 3;
@@ -200,11 +196,6 @@
         item.waiting = other.space.waiting;
         item.slots = other.app->slots;
         item.age = now_ - other.space.reported_at;
-        // Within a zone an exchange costs nothing that counts; a short request, such as a call that
-        // a running one waits for, is worth it anyway.
-        const bool sparing = !item.same_zone && item.hold * short_ratio > other.space.mean_hold;
-        item.no_free_slot = sparing && now_ < other.space.full_until;
-        item.no_queue_place = sparing && now_ < other.space.queue_full_until;
         item.hold = other.space.holds.of(call.way->name, other.space.mean_hold);
         if (other.app->cold_until > now_) {
             item.hold *= 2;
@@ -252,7 +243,7 @@
     // First those that seem to have a free slot; a wrong guess costs one short exchange.
     std::vector<candidate> open;
     for (const auto& item : all) {
-        const bool free = expected_load(item) < item.slots && !item.no_free_slot;
+        const bool free = expected_load(item) < item.slots;
         const bool again = item.tried && all.size() > call.tried.size();
         if (free && !again && !call.refused_by.contains(item.node)) {
             open.push_back(item);
@@ -269,9 +260,7 @@
 void node::wait_somewhere(call_state& call, std::vector<candidate> queues,
                           const placement_request& wanted)
 {
-    std::erase_if(queues, [&](const candidate& item) {
-        return call.full.contains(item.node) || item.no_queue_place;
-    });
+    std::erase_if(queues, [&](const candidate& item) { return call.full.contains(item.node); });
     for (auto& item : queues) {
         const auto refused = call.refused_by.find(item.node);
         if (refused != call.refused_by.end()) {
@@ -416,10 +405,6 @@
     if (tried.may_wait || result.reason != "overload") {
         call.full.insert(tried.owner);
     }
-    if (auto* owner = peers_.find(tried.owner); owner != nullptr && result.reason == "overload") {
-        auto& until = tried.may_wait ? owner->space.queue_full_until : owner->space.full_until;
-        until = now_ + result.wait / named_wait_divisor;
-    }
     place(call);
 }
 
--- a/src/libmesh/placement.h
+++ b/src/libmesh/placement.h
@@ -25,9 +25,6 @@
     int slots = 0;
     /// Age of the report.
     duration age{};
-    /// It refused this node so lately that asking again would only cost the exchange.
-    bool no_free_slot = false;
-    bool no_queue_place = false;
     /// It had the request already and did not serve it.
     bool tried = false;
     /// Time for which a request of the route holds a slot there.
