--- a/src/include/camphortally/change_writer.h
+++ b/src/include/camphortally/change_writer.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace camphor {
@@ -111,6 +112,8 @@
 /// refusal of the resource API. `message` is the first fault's reason.
 std::string error_body(const std::string& code, const std::vector<fault>& faults);
 
+/// Start of all keys of change records; the version follows, so that they sort by it.
+inline constexpr std::string_view change_prefix = "change/";
 /// Key of the change record of `version`.
 std::string change_key(config_version version);
 /// The record's value; inverse of parse_change_record.
--- a/src/libcamphor/change_record.cpp
+++ b/src/libcamphor/change_record.cpp
@@ -30,7 +30,7 @@
 std::string change_key(config_version version)
 {
     std::ostringstream out;
-    out << "change/" << std::setw(version_digits) << std::setfill('0') << version.value();
+    out << change_prefix << std::setw(version_digits) << std::setfill('0') << version.value();
     return out.str();
 }
 
--- a/src/libcamphor/change_writer.cpp
+++ b/src/libcamphor/change_writer.cpp
@@ -56,7 +56,7 @@
 
 std::string audit_key(config_version version)
 {
-    return "audit/" + change_key(version).substr(std::string("change/").size());
+    return "audit/" + change_key(version).substr(change_prefix.size());
 }
 
 table_condition head_condition(config_version base)
@@ -302,7 +302,8 @@
 void change_writer::catch_up(step_context& context)
 {
     const auto version = context.node.config.current()->version();
-    request(context, catch_up_scan, table_scan{"change/", change_key(version), catch_up_rows});
+    request(context, catch_up_scan,
+            table_scan{std::string(change_prefix), change_key(version), catch_up_rows});
 }
 
 void change_writer::after_catch_up(step_context& context, const platform_reply& reply)
--- a/src/libcamphor/snapshot_compactor.cpp
+++ b/src/libcamphor/snapshot_compactor.cpp
@@ -19,7 +19,6 @@
 constexpr std::int64_t compaction_threshold = 512;
 /// Newest changes that stay in the log, so that a node a little behind needs no snapshot.
 constexpr std::int64_t kept_changes = 256;
-const std::string change_prefix = "change/";
 /// The platform takes 100 entries in a transaction; one is the condition.
 constexpr std::int32_t rows_removed_at_once = 99;
 
@@ -75,6 +74,7 @@
     case distribution_request::compaction_mark:
         compacted_ = candidate_->version();
         context.log(log_level::info, "config.compacted", std::to_string(compacted_.value()));
+        candidate_.reset();
         scan(context);
         break;
     case distribution_request::compaction_scan:
@@ -112,7 +112,7 @@
 void snapshot_compactor::scan(step_context& context)
 {
     request(context, static_cast<std::int32_t>(distribution_request::compaction_scan),
-            table_scan{change_prefix, "", rows_removed_at_once});
+            table_scan{std::string(change_prefix), "", rows_removed_at_once});
 }
 
 void snapshot_compactor::remove(step_context& context, const platform_reply& reply)
@@ -125,12 +125,10 @@
             transaction.writes.push_back({row.key, std::nullopt});
         }
     }
-    if (transaction.writes.empty()) {
-        candidate_.reset();
-        return;
+    if (!transaction.writes.empty()) {
+        request(context, static_cast<std::int32_t>(distribution_request::compaction_remove),
+                std::move(transaction));
     }
-    request(context, static_cast<std::int32_t>(distribution_request::compaction_remove),
-            std::move(transaction));
 }
 
 } // namespace camphor
--- a/src/libcamphor/snapshot_object.cpp
+++ b/src/libcamphor/snapshot_object.cpp
@@ -15,7 +15,7 @@
 
 std::string snapshot_object_name(config_version version)
 {
-    return "snapshot/" + change_key(version).substr(std::string("change/").size());
+    return "snapshot/" + change_key(version).substr(change_prefix.size());
 }
 
 std::string to_object(const snapshot& item)
--- a/src/libcamphor/table_poller.cpp
+++ b/src/libcamphor/table_poller.cpp
@@ -88,7 +88,7 @@
 {
     const auto version = context.node.config.current()->version();
     request(context, static_cast<std::int32_t>(distribution_request::changes),
-            table_scan{"change/", change_key(version), rows_per_scan});
+            table_scan{std::string(change_prefix), change_key(version), rows_per_scan});
 }
 
 void table_poller::on_snapshot_head(step_context& context, const platform_reply& reply)
