Log who decides on roll-outs, cancelled runs, rows sent and a process that stood still

Ruled out by this commit: nothing yet. Change: events rollout.decider, rollout.heard, run.cancelled, rows.pushed, rows.pull_answered, node.late; fields known_for_ms, reports, old_calls, new_calls and new_failures of rollout.decided; metric camphor_peer_bytes_waiting.

--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -128,6 +128,7 @@
         time_point deadline;
         bool safe = false;
         bool sent = false;
+        time_point offered_at;
         time_point sent_at;
     };
 
@@ -221,6 +222,7 @@
     /// Tells the nodes that dialled this one how it stands.
     void broadcast_state(audience to = audience::all);
     void on_state(link_id link, const mesh_wire::node_state& state);
+    void on_share(link_id link, const mesh_wire::rollout_share& share);
     void on_answer(link_id link, const mesh_wire::run_answer& frame);
     void on_rows(link_id link, const mesh_wire::rows_push& frame);
     void on_pull(link_id link, const mesh_wire::rows_pull& frame);
@@ -243,6 +245,7 @@
     }
     /// The node that decides on roll-outs: the first by name of those in contact with the store.
     std::optional<node_id> rollout_holder() const;
+    void note_holder(const std::optional<node_id>& holder);
     void judge_rollouts();
     /// The holder repeats how roll-outs stand, so that the others know that it lives.
     void tell_shares();
@@ -260,6 +263,8 @@
     time_point config_at_{};
     rollouts rollouts_;
     time_point next_judgement_{};
+    /// The node that decided on roll-outs at the last look.
+    std::optional<node_id> rollout_holder_;
     /// Operators' rows by key, as last read, for nodes that ask.
     std::map<std::string, mesh_wire::operator_row> rows_;
     std::int64_t read_up_to_ = 0;
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -29,6 +29,7 @@
     run.caller_service = wanted.caller_service;
     run.deadline = now_ + milliseconds(wanted.time_left_ms);
     run.safe = wanted.safe;
+    run.offered_at = now_;
     const bool stopping = stopping_ && origin.link;
     const bool usable = own_ && own_->id == run.backend && own_->takes_work();
     slot_request item;
@@ -223,7 +224,15 @@
     if (found == runs_.end()) {
         return;
     }
-    if (found->second.sent) {
+    const auto& run = found->second;
+    const auto age = [this](time_point since) {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(now_ - since).count());
+    };
+    log(log_level::info, "run.cancelled", run.content->id,
+        {{"backend", run.backend.value()},
+         {"asked_for_ms", age(run.offered_at)},
+         {"at_work_ms", run.sent ? age(run.sent_at) : "none"}});
+    if (run.sent) {
         out_.emplace_back(drop_run{found->first});
     }
     queue_.finish(found->first, false, now_);
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -73,6 +73,19 @@
     return out;
 }
 
+/// Bytes of documents, whole or as differences.
+std::size_t bytes_of(const std::vector<mesh_wire::operator_row>& rows)
+{
+    std::size_t out = 0;
+    for (const auto& row : rows) {
+        out += row.document.size();
+        for (const auto& part : row.parts) {
+            out += part.literal.size();
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 void node::take(const nodes_listed& happened)
@@ -272,7 +285,7 @@
         send_frame(happened.link, std::move(reply));
     }
     if (frame.__isset.share) {
-        rollouts_.on_share(frame.share, now_);
+        on_share(happened.link, frame.share);
     }
     if (frame.__isset.report) {
         const auto* from = known->second.peer ? peers_.find(*known->second.peer) : nullptr;
@@ -280,6 +293,21 @@
     }
 }
 
+void node::on_share(link_id link, const mesh_wire::rollout_share& share)
+{
+    if (!rollouts_.on_share(share, now_)) {
+        return;
+    }
+    const auto& from = links_.at(link).peer;
+    log(log_level::info, "rollout.heard", "",
+        {{"peer", from ? from->value() : "unknown"},
+         {"service", share.service_name},
+         {"release", share.target},
+         {"share", std::to_string(share.permille)},
+         {"phase", std::to_string(share.phase)},
+         {"sequence", std::to_string(share.sequence)}});
+}
+
 void node::send_to_all(const mesh_wire::mesh_frame& frame)
 {
     for (const auto& [name, other] : peers_.all()) {
@@ -321,6 +349,19 @@
     return first;
 }
 
+void node::note_holder(const std::optional<node_id>& holder)
+{
+    if (holder == rollout_holder_) {
+        return;
+    }
+    const auto name = [](const std::optional<node_id>& item) {
+        return item ? item->value() : std::string("none");
+    };
+    log(log_level::info, "rollout.decider", "",
+        {{"before", name(rollout_holder_)}, {"decider", name(holder)}});
+    rollout_holder_ = holder;
+}
+
 void node::judge_rollouts()
 {
     if (now_ < next_judgement_) {
@@ -328,6 +369,7 @@
     }
     next_judgement_ = now_ + move_policy::window;
     const auto holder = rollout_holder();
+    note_holder(holder);
     if (!holder) {
         return;
     }
@@ -512,6 +554,11 @@
             answer.rows.push_back(row);
         }
     }
+    const auto* to = links_.at(link).peer ? &*links_.at(link).peer : nullptr;
+    log(log_level::info, "rows.pull_answered", "",
+        {{"peer", to == nullptr ? "unknown" : to->value()},
+         {"rows", std::to_string(answer.rows.size())},
+         {"bytes", std::to_string(bytes_of(answer.rows))}});
     answer.__set_read_up_to(read_up_to_);
     answer.__isset.rows = true;
     mesh_wire::mesh_frame out;
@@ -524,6 +571,8 @@
     if (rows.empty()) {
         return;
     }
+    log(log_level::info, "rows.pushed", "",
+        {{"rows", std::to_string(rows.size())}, {"bytes", std::to_string(bytes_of(rows))}});
     mesh_wire::rows_push push;
     push.__set_rows(rows);
     push.__set_read_up_to(read_up_to_);
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -2,6 +2,7 @@
 #include "libmesh/rollouts.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace camphor::mesh {
 
@@ -94,11 +95,11 @@
     }
 }
 
-void rollouts::on_share(const mesh_wire::rollout_share& frame, time_point now)
+bool rollouts::on_share(const mesh_wire::rollout_share& frame, time_point now)
 {
     auto& view = views_[service_id{frame.service_name}];
     if (frame.order < view.order.row_version) {
-        return;
+        return false;
     }
     const bool known_phase = frame.phase >= 0 && frame.phase <= 2;
     if (frame.order > view.order.row_version) {
@@ -112,13 +113,15 @@
     const bool final_there = frame.phase != 0;
     if (!known_phase || (final_here && !final_there) ||
         (final_here == final_there && frame.sequence < view.sequence)) {
-        return;
+        return false;
     }
+    const auto before = std::make_pair(view.share, view.phase);
     view.heard_at = now;
     view.sequence = frame.sequence;
     view.share = permille{frame.permille};
     view.stage = frame.stage;
     view.phase = static_cast<rollout_phase>(frame.phase);
+    return before != std::make_pair(view.share, view.phase);
 }
 
 void rollouts::note_run(const service_id& service, const release_id& release, const route_id& way,
@@ -178,6 +181,7 @@
             {from, route_id{item.route},
              is_new ? release_side::new_release : release_side::old_release},
             seen);
+        ++known->second.reports;
         auto& sides = known->second.by_route[item.route];
         auto& route_side = is_new ? sides.second : sides.first;
         auto& side = is_new ? known->second.new_side : known->second.old_side;
@@ -291,6 +295,7 @@
     known = {};
     const auto spec = spec_of(view, allowed);
     known.order = view.order.row_version;
+    known.since = now;
     known.policy = std::make_unique<move_policy>(spec, duration{});
     move_status status;
     status.phase = view.stage > 0 ? move_phase::progressing : move_phase::accepted;
@@ -363,6 +368,11 @@
                           {"share", std::to_string(view.share.value())},
                           {"phase", std::to_string(static_cast<int>(view.phase))},
                           {"reason", decided.reason},
+                          {"known_for_ms", std::to_string((now - seen.since) / milliseconds(1))},
+                          {"reports", std::to_string(seen.reports)},
+                          {"old_calls", std::to_string(std::lround(seen.old_total.total()))},
+                          {"new_calls", std::to_string(std::lround(seen.new_total.total()))},
+                          {"new_failures", std::to_string(std::lround(seen.new_total.bad))},
                           {"evidence", decided.evidence}}});
 }
 
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -44,7 +44,8 @@
     bool on_order(const rollout_order& order, time_point now);
     void on_status(const rollout_status_read& happened);
     void on_written(const rollout_status_written& happened, time_point now);
-    void on_share(const mesh_wire::rollout_share& frame, time_point now);
+    /// Takes the word of the holder. True when the share or the phase changed by it.
+    bool on_share(const mesh_wire::rollout_share& frame, time_point now);
     /// Evidence of this node or another; counts only at the holder.
     void on_evidence(const mesh_wire::evidence& report, const zone_id& from);
     /// Notes the outcome of a run on the backend server beside this node.
@@ -83,6 +84,10 @@
 private:
     struct judged {
         std::int64_t order = 0;
+        /// When this node began to collect what it judges by.
+        time_point since{};
+        /// Counts by route and release that came in.
+        std::int64_t reports = 0;
         std::unique_ptr<move_policy> policy;
         recent_outcomes old_side;
         recent_outcomes new_side;
--- a/src/libsidecar/peer_links.cpp
+++ b/src/libsidecar/peer_links.cpp
@@ -108,6 +108,8 @@
         }
     }
 
+    std::size_t bytes_waiting() const { return waiting_.size() + sending_.size(); }
+
     /// Ends the connection once all that waits was written.
     void end_after_write()
     {
@@ -143,6 +145,7 @@
         asio::async_write(socket_, asio::buffer(sending_),
                           [self = shared_from_this()](error_code error, std::size_t) {
                               self->writing_ = false;
+                              self->sending_.clear();
                               if (error) {
                                   self->end();
                                   return;
@@ -294,6 +297,15 @@
     }
 }
 
+std::size_t peer_links::bytes_waiting() const
+{
+    std::size_t out = 0;
+    for (const auto& [id, item] : self_->links) {
+        out += item->bytes_waiting();
+    }
+    return out;
+}
+
 const peer_counters& peer_links::counters() const
 {
     return self_->counters;
--- a/src/libsidecar/peer_links.h
+++ b/src/libsidecar/peer_links.h
@@ -40,6 +40,8 @@
     void close(mesh::link_id link);
     void close_all();
     const peer_counters& counters() const;
+    /// Bytes that wait to be written, over all connections.
+    std::size_t bytes_waiting() const;
 
 private:
     class implementation;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -33,6 +33,9 @@
 /// so often whether one does; within the margin that the decisions keep of the grace period.
 constexpr auto longest_goodbye = 500ms;
 constexpr auto goodbye_check = 100ms;
+/// A timer that is handled so much too late shows that the process stood still or had no processor
+/// time; looks at the peers are due every 200 ms.
+constexpr auto reported_lateness = 250ms;
 
 time_point monotonic_now()
 {
@@ -209,12 +212,23 @@
     timer_.expires_at(std::chrono::steady_clock::time_point(due.time_since_epoch()));
     timer_.async_wait([this](error_code error) {
         if (!error) {
+            note_lateness(monotonic_now() - armed_for_);
             armed_for_ = {};
             post(mesh::time_passed{});
         }
     });
 }
 
+void sidecar::note_lateness(duration late)
+{
+    if (late > reported_lateness) {
+        write_log({log_level::warning,
+                   "node.late",
+                   "",
+                   {{"late_ms", std::to_string(late / std::chrono::milliseconds(1))}}});
+    }
+}
+
 void sidecar::on_client_request(const std::shared_ptr<http_connection>& from, std::uint64_t number,
                                 http_request&& message)
 {
@@ -400,6 +414,7 @@
     line("camphor_peer_bytes_sent_total", static_cast<double>(peers_.counters().bytes_sent));
     line("camphor_peer_bytes_received_total",
          static_cast<double>(peers_.counters().bytes_received));
+    line("camphor_peer_bytes_waiting", static_cast<double>(peers_.bytes_waiting()));
     line("camphor_peer_frames_refused_total",
          static_cast<double>(peers_.counters().refused_frames));
     line("camphor_store_calls_total", static_cast<double>(store_.counters().calls));
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -42,6 +42,8 @@
     void drain_events();
     void perform(const mesh::effect& item);
     void arm();
+    /// Reports a timer that was handled much too late.
+    void note_lateness(duration late);
     void on_client_request(const std::shared_ptr<http_connection>& from, std::uint64_t number,
                            http_request&& message);
     void on_check_in(const std::shared_ptr<http_connection>& from, std::uint64_t number,
