--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -31,6 +31,9 @@
     duration work = 100ms;
     /// Status of every answer.
     std::int32_t status = 200;
+    /// Of so many answers one is a failure; 0: none.
+    int fails_each = 0;
+    int answers = 0;
     /// Answers are lost: the request runs and the node hears nothing.
     bool loses_answers = false;
     bool crashed = false;
@@ -87,11 +90,11 @@
         way.priority = 1;
         way.max_attempts = 2;
         way.targets.push_back({service_id{"s"}, 1});
-        const auto config =
+        config_ =
             std::make_shared<const mesh_config>(config_version{version}, std::vector<route>{way},
                                                 std::vector<service_settings>{}, client_limits{});
         for (auto& item : hosts_) {
-            feed(*item, config_read{config});
+            feed(*item, config_read{config_});
         }
     }
 
@@ -121,6 +124,9 @@
     void send(std::size_t i, const std::string& id, milliseconds patience = 2000ms)
     {
         auto& at = *hosts_.at(i);
+        if (at.dead) {
+            return;
+        }
         const call_id call{++calls_};
         auto content = std::make_shared<request>();
         content->method = "GET";
@@ -158,19 +164,50 @@
         }
     }
 
+    /// The node's process starts anew: it reads the store, and its backend server checks in.
+    void start_again(std::size_t i)
+    {
+        auto& again = *hosts_.at(i);
+        again.core = node(again.settings, ++boots_, i + 1);
+        again.dead = false;
+        again.clients.clear();
+        again.at_work.clear();
+        again.app.running = 0;
+        schedule_tick(again);
+        std::vector<mesh_wire::node_record> records;
+        for (const auto& item : hosts_) {
+            records.push_back(item->core.record());
+        }
+        feed(again, nodes_listed{records});
+        if (config_) {
+            feed(again, config_read{config_});
+        }
+        if (order_) {
+            feed(again, order_read{*order_});
+        }
+        feed(again, rows_read{{}, 1, true});
+        if (!statuses_.empty()) {
+            feed(again, rollout_status_read{statuses_.back(), status_version_});
+        }
+        check_in(i);
+    }
+
     /// Whoever dials the address of node `gone` reaches node `heir` from now on.
     void pass_address(std::size_t gone, std::size_t heir)
     {
         heirs_["n" + std::to_string(gone)] = "n" + std::to_string(heir);
     }
 
+    /// Runs `act` at a later time of run_for().
+    void after(duration span, std::function<void()> act) { at(span, std::move(act)); }
+
     void stop(std::size_t i) { feed(*hosts_.at(i), stop_asked{}); }
 
     void order_rollout(const std::string& release, milliseconds within)
     {
-        rollout_order order{service_id{"s"}, release_id{release}, within, ++orders_};
+        order_ = rollout_order{service_id{"s"}, release_id{release}, within, ++orders_};
         for (auto& item : hosts_) {
-            feed(*item, order_read{order});
+            feed(*item, order_read{*order_});
         }
     }
     /// Statuses of roll-outs that the nodes wrote, in order.
@@ -194,7 +231,8 @@
         time_point since;
     };
     struct host {
-        host(mesh_settings settings, std::uint64_t seed) : core(std::move(settings), 1, seed) {}
+        host(const mesh_settings& own, std::uint64_t seed) : settings(own), core(own, 1, seed) {}
+        mesh_settings settings;
         node core;
         test_app app;
         std::map<call_id, client> clients;
@@ -318,7 +356,9 @@
             return;
         }
         auto content = std::make_shared<answer>();
-        content->status = app.status;
+        ++app.answers;
+        const bool fails = app.fails_each > 0 && app.answers % app.fails_each == 0;
+        content->status = fails ? 500 : app.status;
         feed(from, app_answered{run, content, false, false, load});
     }
     void perform(host& from, const drop_run& order)
@@ -434,6 +474,9 @@
     std::uint64_t calls_ = 0;
     std::uint64_t last_link_ = 0;
     std::int64_t orders_ = 0;
+    std::int64_t boots_ = 1;
+    mesh_config_ptr config_;
+    std::optional<rollout_order> order_;
     std::int64_t version_ = 0;
     std::int64_t status_version_ = 0;
 };
