Keep requests that a roll-out gave to the new release away from the old one

Cause: rollouts::allows() compared two truths (the backend server has the target; the request was given that very release), which are both false for a request of the target and a backend server of the old release. Such requests could go to either, and placement, which keeps away from owners that fail, took the old one. A failing release thus got almost no requests, the decider saw "too little traffic to judge", raised the share to the whole and completed it; then no other was left. Ruled out: nodes that disagree on the decider (rollout.decider: all named a-1 within 0.3 s), reports that were lost (99 reports came), a word of the decider that was ignored (rollout.heard). Change: a request of the target goes to the target only, all others to other releases; what the target failed is tried again at the old release. Conclusion: the share decides how much a release gets, whatever its answers are, so that its faults show.

--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -435,6 +435,8 @@
     }
     call.refused_by.clear();
     call.full.clear();
+    // What an unproven release failed is tried again at the proven one.
+    call.release.reset();
     if (allowed && may_retry(call, queue_.mean_hold())) {
         place(call);
         return;
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -249,7 +249,7 @@
     case rollout_phase::rolled_back:
         return !is_target;
     case rollout_phase::running:
-        return is_target == (chosen == release);
+        return chosen ? release == *chosen : !is_target;
     }
     return false;
 }
