--- /dev/null
+++ b/src/libmesh/rows_relay_test.cpp
@@ -0,0 +1,96 @@
+// Operators' rows on their way through a zone, beside requests.
+#define BOOST_TEST_MODULE rows_relay
+#include "libmesh/test_mesh_net.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <vector>
+
+using namespace camphor;
+using namespace camphor::mesh;
+using namespace camphor::mesh::test;
+
+namespace {
+
+constexpr std::size_t nodes = 16;
+/// 10 Mbit/s, the slowest link of the grown fleets.
+constexpr std::size_t slow_link_bytes_per_ms = 1'250;
+/// Time after which nothing may be run for a caller that left.
+constexpr auto gone_bound = 500ms;
+/// Time in which a configuration is in force on every node.
+constexpr auto apply_bound = 2s;
+
+struct relay_case {
+    const char* name;
+    /// Bytes of the configuration.
+    std::size_t bytes;
+    /// Nodes that die as the row is passed on.
+    std::vector<std::size_t> deaths;
+};
+
+std::ostream& operator<<(std::ostream& out, const relay_case& item)
+{
+    return out << item.name;
+}
+
+const std::vector<relay_case> relay_cases{
+    {"a small row", 1'000, {}},
+    {"a configuration of 816 routes", 66'000, {}},
+    {"a configuration of 2,000 routes", 160'000, {}},
+    {"nodes die that would pass it on", 66'000, {1, 8}},
+};
+
+/// Two versions have no piece in common, as when a column was added.
+mesh_wire::operator_row configuration(std::int64_t version, std::size_t bytes)
+{
+    std::string document;
+    for (int i = 0; document.size() < bytes; ++i) {
+        document += "[\"r" + std::to_string(i) + "\"," + std::to_string(version) + "],";
+    }
+    mesh_wire::operator_row row;
+    row.__set_key("config");
+    row.__set_row_version(version);
+    row.__set_document(document);
+    return row;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(nothing_runs_for_callers_that_left_while_a_large_configuration_is_passed_on,
+                     boost::unit_test::data::make(relay_cases), item)
+{
+    test_net net(nodes, 1);
+    net.configure(true);
+    // Requests of n0 have to go to other nodes.
+    for (std::size_t i = 1; i < nodes; ++i) {
+        net.check_in(i);
+    }
+    net.read_row(0, configuration(1, item.bytes));
+    net.run_for(5s);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.set_link_speed(i, slow_link_bytes_per_ms);
+    }
+    const auto changed_at = net.now();
+    net.read_row(0, configuration(2, item.bytes));
+    for (const auto dead : item.deaths) {
+        net.kill(dead);
+    }
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.send(0, "left" + std::to_string(i), 250ms);
+    }
+    net.run_for(70ms);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.leave(0, "left" + std::to_string(i));
+    }
+    const auto left_at = net.now();
+    net.run_for(apply_bound - (left_at - changed_at));
+    for (std::size_t i = 0; i < nodes; ++i) {
+        const auto ran = net.last_run("left" + std::to_string(i));
+        BOOST_TEST((!ran || *ran <= left_at + gone_bound));
+        const bool dead = std::find(item.deaths.begin(), item.deaths.end(), i) != item.deaths.end();
+        BOOST_TEST((dead || net.core(i).config()->version() == config_version{2}));
+    }
+}
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -192,6 +192,29 @@
         check_in(i);
     }
 
+    /// Bytes that the node's machine sends in a millisecond, over all connections one after the
+    /// other; 0: no bound.
+    void set_link_speed(std::size_t i, std::size_t bytes_per_ms)
+    {
+        hosts_.at(i)->bytes_per_ms = bytes_per_ms;
+    }
+
+    /// The node reads an operator's row from the store. Rows of the key "config" are configurations
+    /// of that version.
+    void read_row(std::size_t i, const mesh_wire::operator_row& row)
+    {
+        auto& at = *hosts_.at(i);
+        apply(at, row);
+        feed(at, rows_read{{row}, row.row_version, true});
+    }
+
+    /// Last time at which the request began to run; none when it never did.
+    std::optional<time_point> last_run(const std::string& id) const
+    {
+        const auto found = last_runs_.find(id);
+        return found == last_runs_.end() ? std::nullopt : std::optional(found->second);
+    }
+
     /// Whoever dials the address of node `gone` reaches node `heir` from now on.
     void pass_address(std::size_t gone, std::size_t heir)
     {
@@ -239,6 +262,9 @@
         std::set<run_id> at_work;
         bool cut = false;
         bool dead = false;
+        std::size_t bytes_per_ms = 0;
+        /// When the machine's link has sent all that waits.
+        time_point link_free_at{};
     };
     struct link {
         host* from = nullptr;
@@ -260,6 +286,8 @@
 
     static constexpr duration link_delay = 1ms;
     static constexpr duration tick = 25ms;
+    /// Bytes of a frame beside rows and bodies.
+    static constexpr std::size_t frame_overhead = 200;
 
     void add_node(std::size_t i, const std::string& zone)
     {
@@ -334,6 +362,7 @@
         }
         app.after_leaving += app.leaving ? 1 : 0;
         ++runs_[order.content->id];
+        last_runs_[order.content->id] = now_;
         ++app.running;
         ++app.arrivals;
         app.most_running = std::max(app.most_running, app.running);
@@ -401,6 +430,39 @@
         }
     }
 
+    void apply(host& at, const mesh_wire::operator_row& row)
+    {
+        if (row.key == "config" && config_) {
+            feed(at, config_read{std::make_shared<const mesh_config>(
+                         config_version{row.row_version}, config_->routes(),
+                         std::vector<service_settings>{}, client_limits{})});
+        }
+    }
+
+    void perform(host& at, const take_rows& order)
+    {
+        for (const auto& row : order.rows) {
+            apply(at, row);
+        }
+    }
+
+    /// Wait for what the machine sends before, and the time that the frame itself takes.
+    duration time_at_link(host& from, const mesh_wire::mesh_frame& frame)
+    {
+        if (from.bytes_per_ms == 0) {
+            return {};
+        }
+        std::size_t bytes = frame_overhead + frame.run.body.size() + frame.answer.body.size();
+        for (const auto& row : frame.rows.rows) {
+            bytes += row.document.size();
+            for (const auto& part : row.parts) {
+                bytes += part.literal.size();
+            }
+        }
+        from.link_free_at = std::max(from.link_free_at, now_) + 1ms * bytes / from.bytes_per_ms;
+        return from.link_free_at - now_;
+    }
+
     void perform(host& from, const follow_store& order)
     {
         if (order.follow) {
@@ -422,7 +484,9 @@
                 return;
             }
             auto frame = std::make_shared<const mesh_wire::mesh_frame>(order.frame);
-            at(link_delay, [this, to, far, frame] { feed(*to, frame_arrived{far, frame}); });
+            at(link_delay + time_at_link(from, order.frame), [this, to, far, frame] {
+                feed(*to, frame_arrived{far, frame});
+            });
             return;
         }
     }
@@ -467,6 +531,7 @@
     std::map<std::string, std::string> heirs_;
     std::priority_queue<timed> queue_;
     std::map<std::string, int> runs_;
+    std::map<std::string, time_point> last_runs_;
     std::map<std::string, client_result> results_;
     std::vector<rollout_status> statuses_;
     time_point now_{1h};
