Pass large rows on through the nodes of a zone, so that requests do not wait behind copies

Callers saw calls run 0.8 s after they had left, and answers come late around a change. Cause: the watcher of a zone sent a changed configuration to each node of the zone itself. When the version before has little in common with it, such a difference is as large as the whole: 65,650 bytes, 16 copies, 1.05 MB. A machine with a link of 10 Mbit/s needs 0.84 s for it, and every request and cancel of that machine waits behind. Pullers made the same demand on any node that was ahead, since they asked 0.15 s after they heard of a newer version. Ruled out: a close of the caller that was read late (12 ms after it came); a node that stood still (no node.late on a-10 or a-17). Evidence: rows.pushed bytes=65650 on a-10 at 9.903 s; run and cancel, sent at 9.963 and 10.033 s, reached a-17 at 10.825 and 10.835 s. Change: rows over 8 KB go through the zone as a tree of two; pullers of 0.2 s are answered together in the same way; a node pulls after 0.6 s. The number of the last version in a pull, always 0, is gone. Conclusion: what one node sends for a change no longer grows with its zone.

--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -140,6 +140,7 @@
     ping_owing();
     hedge_overdue();
     pull_if_behind();
+    answer_pullers();
     judge_rollouts();
     if (now_ >= next_report_) {
         next_report_ = now_ + settings_.bounds.heartbeat_interval;
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -225,7 +225,7 @@
     void on_share(link_id link, const mesh_wire::rollout_share& share);
     void on_answer(link_id link, const mesh_wire::run_answer& frame);
     void on_rows(link_id link, const mesh_wire::rows_push& frame);
-    void on_pull(link_id link, const mesh_wire::rows_pull& frame);
+    void on_pull(link_id link);
     void update_room(peer& from, const mesh_wire::owner_load& load, const route_id* way);
     void lose_peer(peer& lost);
     /// Another node answers at the address of one that was dialled: that one is gone.
@@ -234,6 +234,11 @@
     /// One node in each zone reads the store for the others; each of them takes over by itself.
     void choose_watcher();
     void push_rows(const std::vector<mesh_wire::operator_row>& rows);
+    /// Sends the rows to some of the nodes, each of which passes them on to a part of the others: no
+    /// node sends more than a few copies, since requests wait behind them at its link.
+    void relay_rows(const mesh_wire::rows_push& push, const std::vector<node_id>& names);
+    /// Sends the rows to the nodes that asked for them since the last answer, by way of each other.
+    void answer_pullers();
     /// Asks nodes that owe answers whether they live.
     void ping_owing();
     bool is_silent(const peer& other) const;
@@ -298,6 +303,9 @@
     std::int64_t revision_ = 0;
     bool store_fresh_ = false;
     time_point next_pull_{};
+    /// Nodes that asked for rows and have no answer yet.
+    std::set<node_id> pullers_;
+    time_point next_pull_answer_{};
     /// Since when some node is known to have a newer configuration.
     std::optional<time_point> behind_since_;
     time_point next_ping_{};
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -23,8 +23,16 @@
 /// configuration is in force within two seconds on the fleets with the shortest bound.
 constexpr auto watcher_ping = 400ms;
 constexpr auto watcher_silence = 1200ms;
-/// Time for the own zone's watcher to pass on what another zone has already.
-constexpr auto push_grace = 150ms;
+/// Time for the own zone's watcher to pass on what another zone has already: a large row takes a
+/// tenth of a second at each of some steps, over the slowest links of the grown fleets (10 Mbit/s).
+constexpr auto push_grace = 600ms;
+/// Larger rows go through the zone by way of its nodes.
+constexpr std::size_t relayed_bytes = 8'192;
+/// Nodes that one node passes large rows on to.
+constexpr std::size_t relay_fanout = 2;
+/// Pause between two answers to pullers: two copies of the largest configurations of the grown
+/// fleets take a link of 10 Mbit/s less.
+constexpr auto pull_answer_pause = 200ms;
 /// A node that owes an answer for so long is asked whether it lives, at each look at the peers.
 constexpr auto ping_after = 150ms;
 /// One that was asked and said nothing for so long gets no new requests: it may be cut off, and its
@@ -277,7 +285,7 @@
         on_rows(happened.link, frame.rows);
     }
     if (frame.__isset.pull) {
-        on_pull(happened.link, frame.pull);
+        on_pull(happened.link);
     }
     if (frame.__isset.ping && frame.ping) {
         mesh_wire::mesh_frame reply;
@@ -527,6 +535,11 @@
 
 void node::on_rows(link_id, const mesh_wire::rows_push& frame)
 {
+    std::vector<node_id> others;
+    for (const auto& name : frame.relay_to) {
+        others.emplace_back(name);
+    }
+    relay_rows(frame, others);
     take_rows order;
     for (const auto& row : frame.rows) {
         auto& known = rows_[row.key];
@@ -546,24 +559,34 @@
     }
 }
 
-void node::on_pull(link_id link, const mesh_wire::rows_pull& frame)
+void node::on_pull(link_id link)
+{
+    if (const auto& from = links_.at(link).peer) {
+        pullers_.insert(*from);
+        answer_pullers();
+    }
+}
+
+void node::answer_pullers()
 {
+    if (pullers_.empty() || now_ < next_pull_answer_) {
+        return;
+    }
+    next_pull_answer_ = now_ + pull_answer_pause;
     mesh_wire::rows_push answer;
     for (const auto& [key, row] : rows_) {
-        if (row.row_version > frame.have_up_to) {
+        if (row.row_version > 0) {
             answer.rows.push_back(row);
         }
     }
-    const auto* to = links_.at(link).peer ? &*links_.at(link).peer : nullptr;
+    answer.__set_read_up_to(read_up_to_);
+    answer.__isset.rows = true;
     log(log_level::info, "rows.pull_answered", "",
-        {{"peer", to == nullptr ? "unknown" : to->value()},
+        {{"peers", std::to_string(pullers_.size())},
          {"rows", std::to_string(answer.rows.size())},
          {"bytes", std::to_string(bytes_of(answer.rows))}});
-    answer.__set_read_up_to(read_up_to_);
-    answer.__isset.rows = true;
-    mesh_wire::mesh_frame out;
-    out.__set_rows(answer);
-    send_frame(link, std::move(out));
+    relay_rows(answer, {pullers_.begin(), pullers_.end()});
+    pullers_.clear();
 }
 
 void node::push_rows(const std::vector<mesh_wire::operator_row>& rows)
@@ -576,11 +599,44 @@
     mesh_wire::rows_push push;
     push.__set_rows(rows);
     push.__set_read_up_to(read_up_to_);
+    if (bytes_of(rows) > relayed_bytes) {
+        std::vector<node_id> zone;
+        for (const auto& [name, other] : peers_.all()) {
+            if (other.link && in_own_zone(other)) {
+                zone.push_back(name);
+            }
+        }
+        relay_rows(push, zone);
+        return;
+    }
     mesh_wire::mesh_frame frame;
     frame.__set_rows(push);
     send_to_zone(frame);
 }
 
+void node::relay_rows(const mesh_wire::rows_push& push, const std::vector<node_id>& names)
+{
+    std::vector<const peer*> heads;
+    std::vector<std::vector<std::string>> parts(relay_fanout);
+    std::size_t next = 0;
+    for (const auto& name : names) {
+        const auto* other = peers_.find(name);
+        const bool reachable = other != nullptr && other->link && !is_silent(*other);
+        if (heads.size() < relay_fanout && reachable) {
+            heads.push_back(other);
+        } else {
+            parts[next++ % relay_fanout].push_back(name.value());
+        }
+    }
+    for (std::size_t i = 0; i < heads.size(); ++i) {
+        auto copy = push;
+        copy.__set_relay_to(parts[i]);
+        mesh_wire::mesh_frame frame;
+        frame.__set_rows(std::move(copy));
+        send_frame(*heads[i]->link, std::move(frame));
+    }
+}
+
 void node::choose_watcher()
 {
     const bool covered =
@@ -650,10 +706,8 @@
     }
     next_pull_ = now_ + pull_pause;
     const auto& from = ahead_in_zone.empty() ? ahead : ahead_in_zone;
-    mesh_wire::rows_pull wanted;
-    wanted.__set_have_up_to(0);
     mesh_wire::mesh_frame frame;
-    frame.__set_pull(wanted);
+    frame.__set_pull({});
     log(log_level::info, "config.pulled", "",
         {{"own_version", std::to_string(own)}, {"ahead", std::to_string(ahead.size())}});
     send_frame(from[static_cast<std::size_t>(random_part() * static_cast<double>(from.size()))],
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -2069,6 +2069,10 @@
 void rows_push::__set_read_up_to(const int64_t val) {
   this->read_up_to = val;
 }
+
+void rows_push::__set_relay_to(const std::vector<std::string> & val) {
+  this->relay_to = val;
+}
 std::ostream& operator<<(std::ostream& out, const rows_push& obj)
 {
   obj.printTo(out);
@@ -2125,6 +2129,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relay_to.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->relay_to.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += iprot->readString(this->relay_to[_i52]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relay_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2145,10 +2169,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<operator_row> ::const_iterator _iter48;
-    for (_iter48 = this->rows.begin(); _iter48 != this->rows.end(); ++_iter48)
+    std::vector<operator_row> ::const_iterator _iter53;
+    for (_iter53 = this->rows.begin(); _iter53 != this->rows.end(); ++_iter53)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2158,6 +2182,18 @@
   xfer += oprot->writeI64(this->read_up_to);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relay_to.size()));
+    std::vector<std::string> ::const_iterator _iter54;
+    for (_iter54 = this->relay_to.begin(); _iter54 != this->relay_to.end(); ++_iter54)
+    {
+      xfer += oprot->writeString((*_iter54));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2167,29 +2203,34 @@
   using ::std::swap;
   swap(a.rows, b.rows);
   swap(a.read_up_to, b.read_up_to);
+  swap(a.relay_to, b.relay_to);
   swap(a.__isset, b.__isset);
 }
 
-rows_push::rows_push(const rows_push& other49) {
-  rows = other49.rows;
-  read_up_to = other49.read_up_to;
-  __isset = other49.__isset;
+rows_push::rows_push(const rows_push& other55) {
+  rows = other55.rows;
+  read_up_to = other55.read_up_to;
+  relay_to = other55.relay_to;
+  __isset = other55.__isset;
 }
-rows_push::rows_push(rows_push&& other50) noexcept {
-  rows = std::move(other50.rows);
-  read_up_to = other50.read_up_to;
-  __isset = other50.__isset;
+rows_push::rows_push(rows_push&& other56) noexcept {
+  rows = std::move(other56.rows);
+  read_up_to = other56.read_up_to;
+  relay_to = std::move(other56.relay_to);
+  __isset = other56.__isset;
 }
-rows_push& rows_push::operator=(const rows_push& other51) {
-  rows = other51.rows;
-  read_up_to = other51.read_up_to;
-  __isset = other51.__isset;
+rows_push& rows_push::operator=(const rows_push& other57) {
+  rows = other57.rows;
+  read_up_to = other57.read_up_to;
+  relay_to = other57.relay_to;
+  __isset = other57.__isset;
   return *this;
 }
-rows_push& rows_push::operator=(rows_push&& other52) noexcept {
-  rows = std::move(other52.rows);
-  read_up_to = other52.read_up_to;
-  __isset = other52.__isset;
+rows_push& rows_push::operator=(rows_push&& other58) noexcept {
+  rows = std::move(other58.rows);
+  read_up_to = other58.read_up_to;
+  relay_to = std::move(other58.relay_to);
+  __isset = other58.__isset;
   return *this;
 }
 void rows_push::printTo(std::ostream& out) const {
@@ -2197,6 +2238,7 @@
   out << "rows_push(";
   out << "rows=" << to_string(rows);
   out << ", " << "read_up_to=" << to_string(read_up_to);
+  out << ", " << "relay_to=" << to_string(relay_to);
   out << ")";
 }
 
@@ -2204,10 +2246,6 @@
 rows_pull::~rows_pull() noexcept {
 }
 
-
-void rows_pull::__set_have_up_to(const int64_t val) {
-  this->have_up_to = val;
-}
 std::ostream& operator<<(std::ostream& out, const rows_pull& obj)
 {
   obj.printTo(out);
@@ -2234,20 +2272,7 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have_up_to);
-          this->__isset.have_up_to = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
+    xfer += iprot->skip(ftype);
     xfer += iprot->readFieldEnd();
   }
 
@@ -2261,10 +2286,6 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("rows_pull");
 
-  xfer += oprot->writeFieldBegin("have_up_to", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->have_up_to);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2272,32 +2293,27 @@
 
 void swap(rows_pull &a, rows_pull &b) {
   using ::std::swap;
-  swap(a.have_up_to, b.have_up_to);
-  swap(a.__isset, b.__isset);
+  (void) a;
+  (void) b;
 }
 
-rows_pull::rows_pull(const rows_pull& other53) noexcept {
-  have_up_to = other53.have_up_to;
-  __isset = other53.__isset;
+rows_pull::rows_pull(const rows_pull& other59) noexcept {
+  (void) other59;
 }
-rows_pull::rows_pull(rows_pull&& other54) noexcept {
-  have_up_to = other54.have_up_to;
-  __isset = other54.__isset;
+rows_pull::rows_pull(rows_pull&& other60) noexcept {
+  (void) other60;
 }
-rows_pull& rows_pull::operator=(const rows_pull& other55) noexcept {
-  have_up_to = other55.have_up_to;
-  __isset = other55.__isset;
+rows_pull& rows_pull::operator=(const rows_pull& other61) noexcept {
+  (void) other61;
   return *this;
 }
-rows_pull& rows_pull::operator=(rows_pull&& other56) noexcept {
-  have_up_to = other56.have_up_to;
-  __isset = other56.__isset;
+rows_pull& rows_pull::operator=(rows_pull&& other62) noexcept {
+  (void) other62;
   return *this;
 }
 void rows_pull::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "rows_pull(";
-  out << "have_up_to=" << to_string(have_up_to);
   out << ")";
 }
 
@@ -2401,14 +2417,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->latency_buckets.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->latency_buckets.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->latency_buckets.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += iprot->readI32(this->latency_buckets[_i61]);
+              xfer += iprot->readI32(this->latency_buckets[_i67]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2457,10 +2473,10 @@
   xfer += oprot->writeFieldBegin("latency_buckets", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->latency_buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter62;
-    for (_iter62 = this->latency_buckets.begin(); _iter62 != this->latency_buckets.end(); ++_iter62)
+    std::vector<int32_t> ::const_iterator _iter68;
+    for (_iter68 = this->latency_buckets.begin(); _iter68 != this->latency_buckets.end(); ++_iter68)
     {
-      xfer += oprot->writeI32((*_iter62));
+      xfer += oprot->writeI32((*_iter68));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2482,42 +2498,42 @@
   swap(a.__isset, b.__isset);
 }
 
-release_counts::release_counts(const release_counts& other63) {
-  service_name = other63.service_name;
-  route = other63.route;
-  release = other63.release;
-  good = other63.good;
-  bad = other63.bad;
-  latency_buckets = other63.latency_buckets;
-  __isset = other63.__isset;
-}
-release_counts::release_counts(release_counts&& other64) noexcept {
-  service_name = std::move(other64.service_name);
-  route = std::move(other64.route);
-  release = std::move(other64.release);
-  good = other64.good;
-  bad = other64.bad;
-  latency_buckets = std::move(other64.latency_buckets);
-  __isset = other64.__isset;
-}
-release_counts& release_counts::operator=(const release_counts& other65) {
-  service_name = other65.service_name;
-  route = other65.route;
-  release = other65.release;
-  good = other65.good;
-  bad = other65.bad;
-  latency_buckets = other65.latency_buckets;
-  __isset = other65.__isset;
+release_counts::release_counts(const release_counts& other69) {
+  service_name = other69.service_name;
+  route = other69.route;
+  release = other69.release;
+  good = other69.good;
+  bad = other69.bad;
+  latency_buckets = other69.latency_buckets;
+  __isset = other69.__isset;
+}
+release_counts::release_counts(release_counts&& other70) noexcept {
+  service_name = std::move(other70.service_name);
+  route = std::move(other70.route);
+  release = std::move(other70.release);
+  good = other70.good;
+  bad = other70.bad;
+  latency_buckets = std::move(other70.latency_buckets);
+  __isset = other70.__isset;
+}
+release_counts& release_counts::operator=(const release_counts& other71) {
+  service_name = other71.service_name;
+  route = other71.route;
+  release = other71.release;
+  good = other71.good;
+  bad = other71.bad;
+  latency_buckets = other71.latency_buckets;
+  __isset = other71.__isset;
   return *this;
 }
-release_counts& release_counts::operator=(release_counts&& other66) noexcept {
-  service_name = std::move(other66.service_name);
-  route = std::move(other66.route);
-  release = std::move(other66.release);
-  good = other66.good;
-  bad = other66.bad;
-  latency_buckets = std::move(other66.latency_buckets);
-  __isset = other66.__isset;
+release_counts& release_counts::operator=(release_counts&& other72) noexcept {
+  service_name = std::move(other72.service_name);
+  route = std::move(other72.route);
+  release = std::move(other72.release);
+  good = other72.good;
+  bad = other72.bad;
+  latency_buckets = std::move(other72.latency_buckets);
+  __isset = other72.__isset;
   return *this;
 }
 void release_counts::printTo(std::ostream& out) const {
@@ -2572,14 +2588,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->counts.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->counts.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->counts[_i71].read(iprot);
+              xfer += this->counts[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2608,10 +2624,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<release_counts> ::const_iterator _iter72;
-    for (_iter72 = this->counts.begin(); _iter72 != this->counts.end(); ++_iter72)
+    std::vector<release_counts> ::const_iterator _iter78;
+    for (_iter78 = this->counts.begin(); _iter78 != this->counts.end(); ++_iter78)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2628,22 +2644,22 @@
   swap(a.__isset, b.__isset);
 }
 
-evidence::evidence(const evidence& other73) {
-  counts = other73.counts;
-  __isset = other73.__isset;
+evidence::evidence(const evidence& other79) {
+  counts = other79.counts;
+  __isset = other79.__isset;
 }
-evidence::evidence(evidence&& other74) noexcept {
-  counts = std::move(other74.counts);
-  __isset = other74.__isset;
+evidence::evidence(evidence&& other80) noexcept {
+  counts = std::move(other80.counts);
+  __isset = other80.__isset;
 }
-evidence& evidence::operator=(const evidence& other75) {
-  counts = other75.counts;
-  __isset = other75.__isset;
+evidence& evidence::operator=(const evidence& other81) {
+  counts = other81.counts;
+  __isset = other81.__isset;
   return *this;
 }
-evidence& evidence::operator=(evidence&& other76) noexcept {
-  counts = std::move(other76.counts);
-  __isset = other76.__isset;
+evidence& evidence::operator=(evidence&& other82) noexcept {
+  counts = std::move(other82.counts);
+  __isset = other82.__isset;
   return *this;
 }
 void evidence::printTo(std::ostream& out) const {
@@ -2831,46 +2847,46 @@
   swap(a.__isset, b.__isset);
 }
 
-rollout_share::rollout_share(const rollout_share& other77) {
-  service_name = other77.service_name;
-  target = other77.target;
-  order = other77.order;
-  sequence = other77.sequence;
-  permille = other77.permille;
-  stage = other77.stage;
-  phase = other77.phase;
-  __isset = other77.__isset;
-}
-rollout_share::rollout_share(rollout_share&& other78) noexcept {
-  service_name = std::move(other78.service_name);
-  target = std::move(other78.target);
-  order = other78.order;
-  sequence = other78.sequence;
-  permille = other78.permille;
-  stage = other78.stage;
-  phase = other78.phase;
-  __isset = other78.__isset;
-}
-rollout_share& rollout_share::operator=(const rollout_share& other79) {
-  service_name = other79.service_name;
-  target = other79.target;
-  order = other79.order;
-  sequence = other79.sequence;
-  permille = other79.permille;
-  stage = other79.stage;
-  phase = other79.phase;
-  __isset = other79.__isset;
+rollout_share::rollout_share(const rollout_share& other83) {
+  service_name = other83.service_name;
+  target = other83.target;
+  order = other83.order;
+  sequence = other83.sequence;
+  permille = other83.permille;
+  stage = other83.stage;
+  phase = other83.phase;
+  __isset = other83.__isset;
+}
+rollout_share::rollout_share(rollout_share&& other84) noexcept {
+  service_name = std::move(other84.service_name);
+  target = std::move(other84.target);
+  order = other84.order;
+  sequence = other84.sequence;
+  permille = other84.permille;
+  stage = other84.stage;
+  phase = other84.phase;
+  __isset = other84.__isset;
+}
+rollout_share& rollout_share::operator=(const rollout_share& other85) {
+  service_name = other85.service_name;
+  target = other85.target;
+  order = other85.order;
+  sequence = other85.sequence;
+  permille = other85.permille;
+  stage = other85.stage;
+  phase = other85.phase;
+  __isset = other85.__isset;
   return *this;
 }
-rollout_share& rollout_share::operator=(rollout_share&& other80) noexcept {
-  service_name = std::move(other80.service_name);
-  target = std::move(other80.target);
-  order = other80.order;
-  sequence = other80.sequence;
-  permille = other80.permille;
-  stage = other80.stage;
-  phase = other80.phase;
-  __isset = other80.__isset;
+rollout_share& rollout_share::operator=(rollout_share&& other86) noexcept {
+  service_name = std::move(other86.service_name);
+  target = std::move(other86.target);
+  order = other86.order;
+  sequence = other86.sequence;
+  permille = other86.permille;
+  stage = other86.stage;
+  phase = other86.phase;
+  __isset = other86.__isset;
   return *this;
 }
 void rollout_share::printTo(std::ostream& out) const {
@@ -3116,54 +3132,54 @@
   swap(a.__isset, b.__isset);
 }
 
-mesh_frame::mesh_frame(const mesh_frame& other81) {
-  state = other81.state;
-  run = other81.run;
-  answer = other81.answer;
-  cancel = other81.cancel;
-  rows = other81.rows;
-  pull = other81.pull;
-  report = other81.report;
-  share = other81.share;
-  ping = other81.ping;
-  __isset = other81.__isset;
-}
-mesh_frame::mesh_frame(mesh_frame&& other82) noexcept {
-  state = std::move(other82.state);
-  run = std::move(other82.run);
-  answer = std::move(other82.answer);
-  cancel = std::move(other82.cancel);
-  rows = std::move(other82.rows);
-  pull = std::move(other82.pull);
-  report = std::move(other82.report);
-  share = std::move(other82.share);
-  ping = other82.ping;
-  __isset = other82.__isset;
-}
-mesh_frame& mesh_frame::operator=(const mesh_frame& other83) {
-  state = other83.state;
-  run = other83.run;
-  answer = other83.answer;
-  cancel = other83.cancel;
-  rows = other83.rows;
-  pull = other83.pull;
-  report = other83.report;
-  share = other83.share;
-  ping = other83.ping;
-  __isset = other83.__isset;
+mesh_frame::mesh_frame(const mesh_frame& other87) {
+  state = other87.state;
+  run = other87.run;
+  answer = other87.answer;
+  cancel = other87.cancel;
+  rows = other87.rows;
+  pull = other87.pull;
+  report = other87.report;
+  share = other87.share;
+  ping = other87.ping;
+  __isset = other87.__isset;
+}
+mesh_frame::mesh_frame(mesh_frame&& other88) noexcept {
+  state = std::move(other88.state);
+  run = std::move(other88.run);
+  answer = std::move(other88.answer);
+  cancel = std::move(other88.cancel);
+  rows = std::move(other88.rows);
+  pull = std::move(other88.pull);
+  report = std::move(other88.report);
+  share = std::move(other88.share);
+  ping = other88.ping;
+  __isset = other88.__isset;
+}
+mesh_frame& mesh_frame::operator=(const mesh_frame& other89) {
+  state = other89.state;
+  run = other89.run;
+  answer = other89.answer;
+  cancel = other89.cancel;
+  rows = other89.rows;
+  pull = other89.pull;
+  report = other89.report;
+  share = other89.share;
+  ping = other89.ping;
+  __isset = other89.__isset;
   return *this;
 }
-mesh_frame& mesh_frame::operator=(mesh_frame&& other84) noexcept {
-  state = std::move(other84.state);
-  run = std::move(other84.run);
-  answer = std::move(other84.answer);
-  cancel = std::move(other84.cancel);
-  rows = std::move(other84.rows);
-  pull = std::move(other84.pull);
-  report = std::move(other84.report);
-  share = std::move(other84.share);
-  ping = other84.ping;
-  __isset = other84.__isset;
+mesh_frame& mesh_frame::operator=(mesh_frame&& other90) noexcept {
+  state = std::move(other90.state);
+  run = std::move(other90.run);
+  answer = std::move(other90.answer);
+  cancel = std::move(other90.cancel);
+  rows = std::move(other90.rows);
+  pull = std::move(other90.pull);
+  report = std::move(other90.report);
+  share = std::move(other90.share);
+  ping = other90.ping;
+  __isset = other90.__isset;
   return *this;
 }
 void mesh_frame::printTo(std::ostream& out) const {
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -816,9 +816,10 @@
 std::ostream& operator<<(std::ostream& out, const operator_row& obj);
 
 typedef struct _rows_push__isset {
-  _rows_push__isset() : rows(false), read_up_to(false) {}
+  _rows_push__isset() : rows(false), read_up_to(false), relay_to(false) {}
   bool rows :1;
   bool read_up_to :1;
+  bool relay_to :1;
 } _rows_push__isset;
 
 class rows_push : public virtual ::apache::thrift::TBase {
@@ -835,6 +836,7 @@
   virtual ~rows_push() noexcept;
   std::vector<operator_row>  rows;
   int64_t read_up_to;
+  std::vector<std::string>  relay_to;
 
   _rows_push__isset __isset;
 
@@ -842,12 +844,16 @@
 
   void __set_read_up_to(const int64_t val);
 
+  void __set_relay_to(const std::vector<std::string> & val);
+
   bool operator == (const rows_push & rhs) const
   {
     if (!(rows == rhs.rows))
       return false;
     if (!(read_up_to == rhs.read_up_to))
       return false;
+    if (!(relay_to == rhs.relay_to))
+      return false;
     return true;
   }
   bool operator != (const rows_push &rhs) const {
@@ -866,10 +872,6 @@
 
 std::ostream& operator<<(std::ostream& out, const rows_push& obj);
 
-typedef struct _rows_pull__isset {
-  _rows_pull__isset() : have_up_to(false) {}
-  bool have_up_to :1;
-} _rows_pull__isset;
 
 class rows_pull : public virtual ::apache::thrift::TBase {
  public:
@@ -878,21 +880,13 @@
   rows_pull(rows_pull&&) noexcept;
   rows_pull& operator=(const rows_pull&) noexcept;
   rows_pull& operator=(rows_pull&&) noexcept;
-  rows_pull() noexcept
-            : have_up_to(0) {
+  rows_pull() noexcept {
   }
 
   virtual ~rows_pull() noexcept;
-  int64_t have_up_to;
-
-  _rows_pull__isset __isset;
 
-  void __set_have_up_to(const int64_t val);
-
-  bool operator == (const rows_pull & rhs) const
+  bool operator == (const rows_pull & /* rhs */) const
   {
-    if (!(have_up_to == rhs.have_up_to))
-      return false;
     return true;
   }
   bool operator != (const rows_pull &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -122,10 +122,12 @@
   1: list<operator_row> rows
   // Newest version of the store that the sender has read.
   2: i64 read_up_to
+  // Names of the nodes that the receiver passes the frame on to.
+  3: list<string> relay_to
 }
 
+// Asks for all rows. Number 1 was used.
 struct rows_pull {
-  1: i64 have_up_to
 }
 
 // What an owner saw of one route on the release beside it since its last report.
