Cut off answers of a backend server that have no end

Cause: the head was bounded, nothing else: interim answers (1xx) without end, a chunk's extension or trailers without end were read on, a body up to 64 MB, and a Content-Length of a terabyte threw std::bad_alloc out of the I/O loop, since Beast makes room before it compares with its limit. An answer of more than 16 MB would have closed the link to the node that asked, with all that it carried. Ruled out: bytes that are no head, fields without end, answers to other requests (bounded before). Change: an answer has 4 MB at the most, its framing 128 KB, 16 interim answers; all that are not whole yet 16 MB together, the longest gives way. The connection is closed at once and the request counts as garbled, so that a safe one is tried elsewhere. Conclusion: what a backend server sends bounds neither the memory nor the time of its node.

--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -38,8 +38,18 @@
 /// A request that must not run twice takes a connection only when it was in use so lately: a
 /// connection that the other side closed meanwhile leaves open whether the request was read.
 constexpr auto fresh_idle = 1500ms;
-constexpr std::size_t answer_limit_bytes = 64ULL * 1024 * 1024;
+/// Longest answer. Well over those of both meshes (30 KB), and with its copies below the longest
+/// frame between nodes and the memory of the smallest machines (160 MB).
+constexpr std::size_t answer_limit_bytes = 4ULL * 1024 * 1024;
+/// Of all answers that are not whole yet: a tenth of that memory. The longest one gives way.
+constexpr std::size_t held_limit_bytes = 16ULL * 1024 * 1024;
 constexpr std::size_t head_limit_bytes = 64ULL * 1024;
+/// Bytes that wait to be parsed: the longest head and one read.
+constexpr std::size_t input_limit_bytes = 2 * head_limit_bytes;
+/// From so many bytes on an answer is read in large parts; before, a read takes some 512 bytes.
+constexpr std::size_t long_answer_bytes = 16ULL * 1024;
+/// Interim answers (1xx) to one request.
+constexpr int most_interim_answers = 16;
 /// Answers to other requests that are skipped in search of the own one.
 constexpr int most_stray_answers = 4;
 
@@ -87,6 +97,9 @@
 
     void send(const mesh::send_to_app& order);
     std::shared_ptr<connection> take_idle(bool fresh);
+    std::size_t bytes_held() const;
+    /// Gives the longest answer up when all that are not whole yet hold too much.
+    void bound_held_bytes();
 
     asio::io_context& io;
     mesh::listen_address address;
@@ -122,6 +135,11 @@
         return !closed_ && steady_clock::now() < usable_until_ && socket_.available(error) == 0 &&
                !error;
     }
+    std::size_t bytes_held() const
+    {
+        return input_.size() + (parser_ ? parser_->get().body().size() : 0);
+    }
+    void fail(mesh::app_failure kind, bool refused_connection = false);
     bool is_fresh() const { return steady_clock::now() - idle_since_ < fresh_idle; }
 
 private:
@@ -129,16 +147,17 @@
 
     void write();
     void read();
+    void read_part();
+    void on_part(error_code error);
     void on_answer(error_code error);
     void deliver();
-    void fail(mesh::app_failure kind, bool refused_connection = false);
     void become_idle();
     void watch_idle();
 
     std::shared_ptr<implementation> owner_;
     tcp::socket socket_;
     asio::steady_timer timer_;
-    boost::beast::flat_buffer input_;
+    boost::beast::flat_buffer input_{input_limit_bytes};
     std::optional<parser> parser_;
     mesh::send_to_app order_;
     std::string output_;
@@ -146,6 +165,7 @@
     bool writing_ = false;
     bool answered_ = false;
     int strays_ = 0;
+    int interim_answers_ = 0;
     steady_clock::time_point idle_since_{};
     steady_clock::time_point usable_until_{};
     std::uint64_t uses_ = 0;
@@ -202,6 +222,7 @@
     ++owner_->counters.requests;
     answered_ = false;
     strays_ = 0;
+    interim_answers_ = 0;
     writing_ = true;
     asio::async_write(socket_, asio::buffer(output_),
                       [self = shared_from_this()](error_code error, std::size_t) {
@@ -222,12 +243,41 @@
     if (order_.content->method == "HEAD") {
         parser_->skip(true);
     }
-    http::async_read(socket_, input_, *parser_,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                         if (!self->closed_) {
-                             self->on_answer(error);
-                         }
-                     });
+    parser_->eager(false);
+    read_part();
+}
+
+void app_client::implementation::connection::read_part()
+{
+    http::async_read_some(socket_, input_, *parser_,
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                              if (!self->closed_) {
+                                  self->on_part(error);
+                              }
+                          });
+}
+
+void app_client::implementation::connection::on_part(error_code error)
+{
+    const bool has_head = parser_->is_header_done();
+    // Beast makes room for the announced length before it compares it with the limit.
+    const auto announced = has_head ? parser_->content_length() : boost::none;
+    if (bytes_held() > answer_limit_bytes || (announced && *announced > answer_limit_bytes)) {
+        fail(mesh::app_failure::garbled);
+        return;
+    }
+    if (error || parser_->is_done()) {
+        on_answer(error);
+        return;
+    }
+    parser_->eager(has_head);
+    if (bytes_held() > long_answer_bytes) {
+        input_.reserve(head_limit_bytes);
+    }
+    owner_->bound_held_bytes();
+    if (!closed_) {
+        read_part();
+    }
 }
 
 void app_client::implementation::connection::on_answer(error_code error)
@@ -241,6 +291,10 @@
     }
     const auto& message = parser_->get();
     if (message.result_int() < 200) {
+        if (++interim_answers_ > most_interim_answers) {
+            fail(mesh::app_failure::garbled);
+            return;
+        }
         read();
         return;
     }
@@ -353,6 +407,28 @@
     return nullptr;
 }
 
+std::size_t app_client::implementation::bytes_held() const
+{
+    std::size_t out = 0;
+    for (const auto& [run, item] : busy) {
+        out += item->bytes_held();
+    }
+    return out;
+}
+
+void app_client::implementation::bound_held_bytes()
+{
+    if (bytes_held() <= held_limit_bytes) {
+        return;
+    }
+    const auto longest =
+        std::max_element(busy.begin(), busy.end(), [](const auto& left, const auto& right) {
+            return left.second->bytes_held() < right.second->bytes_held();
+        });
+    const auto item = longest->second;
+    item->fail(mesh::app_failure::garbled);
+}
+
 void app_client::implementation::send(const mesh::send_to_app& order)
 {
     if (const auto kept = take_idle(order.unsafe)) {
@@ -396,6 +472,11 @@
     }
 }
 
+std::size_t app_client::bytes_held() const
+{
+    return self_->bytes_held();
+}
+
 const app_counters& app_client::counters() const
 {
     return self_->counters;
--- a/src/libsidecar/app_client.h
+++ b/src/libsidecar/app_client.h
@@ -36,6 +36,8 @@
     /// Closes the connection of a request whose answer nobody wants.
     void drop(mesh::run_id run);
     const app_counters& counters() const;
+    /// Bytes of answers that are not whole yet, over all connections.
+    std::size_t bytes_held() const;
 
 private:
     class implementation;
