Refuse requests whose framing has no end

Clients that send a chunk's extension or trailers without end made their node hold all of it: nobody saw it yet. Change: the buffer of a connection has the size of the longest head and 64 KB; what does not fit is answered 400 and the connection is closed. Looked at besides: the product's own calls (http_channel has an input limit), frames between nodes (16 MB).

--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -22,6 +22,8 @@
 /// reset it and take the answer with them.
 constexpr auto linger_time = 1s;
 constexpr std::size_t discard_bytes = 8'192;
+/// Bytes beyond the longest head that may wait to be parsed: one read, or the framing of a chunk.
+constexpr std::size_t framing_bytes = 64ULL * 1024;
 constexpr int listen_backlog = 1'024;
 /// Remembered connections are swept when this many were added.
 constexpr std::size_t sweep_at = 64;
@@ -49,7 +51,7 @@
 http_connection::http_connection(tcp::socket socket, const http_handlers& handlers,
                                  http_limits limits, std::uint64_t& numbers)
     : socket_(std::move(socket)), timer_(socket_.get_executor()), handlers_(handlers),
-      limits_(limits), numbers_(numbers)
+      limits_(limits), numbers_(numbers), input_(limits.header_bytes + framing_bytes)
 {
 }
 
@@ -130,6 +132,10 @@
         refuse(413, "the body is too long");
         return;
     }
+    if (error == http::error::buffer_overflow) {
+        refuse(400, "the framing of the body is too long");
+        return;
+    }
     if (error) {
         drop();
         return;
