Count runs that were cut after their usual time as evidence on their release

Cause: callers wait 250 ms; runs that take longer are cancelled, and a cancelled run left no trace in the evidence, so that only the fast half was judged. Ruled out: the comparison itself, which takes 12 answers three times slower. Change: a run cut after the usual time of its route counts as an answer that took as long. Conclusion: the slowest answers are judged too.

--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -234,6 +234,10 @@
          {"at_work_ms", run.sent ? age(run.sent_at) : "none"}});
     if (run.sent) {
         out_.emplace_back(drop_run{found->first});
+        // It would have taken longer still. A short one tells nothing: its caller left.
+        if (now_ - run.sent_at > queue_.hold(run.way, queue_.mean_hold())) {
+            note_release(run, true);
+        }
     }
     queue_.finish(found->first, false, now_);
     runs_.erase(found);
