Let a node that takes over roll-outs go on where the last one was

Callers saw a roll-out run past its deadline, and a share set back by a decider that had restarted. Cause: an order that was read began anew with the process: share 0, first stage, the whole time; a node that had just started and is first by name decided before it heard of the others. Ruled out: the operator's row (it has no time of its own). Change: an order that is read keeps what the others told of it; the word of the decider carries the time already spent; a new decider raises no share for a second, takes a bad release back at once, and its policy follows the share in force. Figures: rollout_handover_test, decider restarted at 9 s of 14: running at the deadline before, ended now. Remains: what a dead decider knew is lost; the next one collects anew, which takes it about a second of traffic. If all nodes die at once, the time of the order begins anew.

--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -102,7 +102,7 @@
 void node::take(const rollout_status_written& happened)
 {
     rollouts_.on_written(happened, now_);
-    send_shares(rollouts_.shares());
+    send_shares(rollouts_.shares(now_));
 }
 
 void node::take(const stop_asked&)
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -234,8 +234,8 @@
     /// One node in each zone reads the store for the others; each of them takes over by itself.
     void choose_watcher();
     void push_rows(const std::vector<mesh_wire::operator_row>& rows);
-    /// Sends the rows to some of the nodes, each of which passes them on to a part of the others: no
-    /// node sends more than a few copies, since requests wait behind them at its link.
+    /// Sends the rows to some of the nodes, each of which passes them on to a part of the others:
+    /// no node sends more than a few copies, since requests wait behind them at its link.
     void relay_rows(const mesh_wire::rows_push& push, const std::vector<node_id>& names);
     /// Sends the rows to the nodes that asked for them since the last answer, by way of each other.
     void answer_pullers();
@@ -270,6 +270,7 @@
     time_point next_judgement_{};
     /// The node that decided on roll-outs at the last look.
     std::optional<node_id> rollout_holder_;
+    time_point holder_since_{};
     /// Operators' rows by key, as last read, for nodes that ask.
     std::map<std::string, mesh_wire::operator_row> rows_;
     std::int64_t read_up_to_ = 0;
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -38,6 +38,9 @@
 /// One that was asked and said nothing for so long gets no new requests: it may be cut off, and its
 /// connections hang. Longer than two looks at the peers.
 constexpr auto silent_after = 600ms;
+/// A node that has become the decider on roll-outs raises no share before: connections open within
+/// some hundred ms, and owners report each 200 ms.
+constexpr auto takeover_pause = 1s;
 /// Pause between two pulls.
 constexpr auto pull_pause = 500ms;
 
@@ -142,7 +145,7 @@
     other->failed_dials = 0;
     other->lost_at.reset();
     send_frame(happened.link, state_frame());
-    for (const auto& share : rollouts_.shares()) {
+    for (const auto& share : rollouts_.shares(now_)) {
         mesh_wire::mesh_frame frame;
         frame.__set_share(share);
         send_frame(happened.link, std::move(frame));
@@ -368,6 +371,7 @@
     log(log_level::info, "rollout.decider", "",
         {{"before", name(rollout_holder_)}, {"decider", name(holder)}});
     rollout_holder_ = holder;
+    holder_since_ = now_;
 }
 
 void node::judge_rollouts()
@@ -406,7 +410,9 @@
         }
         return longest;
     };
-    auto decided = rollouts_.decide(now_, {settings_.bounds.exposure_share, longest_request});
+    const bool settled = now_ >= holder_since_ + takeover_pause;
+    auto decided =
+        rollouts_.decide(now_, {settings_.bounds.exposure_share, settled, longest_request});
     for (auto& line : decided.lines) {
         out_.emplace_back(std::move(line));
     }
@@ -510,7 +516,7 @@
     if (rollout_holder() != settings_.node || !rollouts_.any_running()) {
         return;
     }
-    send_shares(rollouts_.shares());
+    send_shares(rollouts_.shares(now_));
 }
 
 void node::take(const rows_read& happened)
--- a/src/libmesh/rollout_handover_test.cpp
+++ b/src/libmesh/rollout_handover_test.cpp
@@ -107,3 +107,63 @@
         BOOST_TEST(arrivals(net) <= sent / exposed_part + exposure_slack);
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_rollout_ends_by_its_deadline_though_the_deciding_node_restarts_late)
+{
+    test_net net(nodes);
+    net.configure(true, 1000ms, 400ms);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.app(i).release = release_id{i >= first_new ? "v2" : "v1"};
+        net.app(i).work = 60ms;
+        net.check_in(i);
+    }
+    net.order_rollout("v2", order_time);
+    const auto deadline = net.now() + order_time;
+    for (int tick = 0; net.now() < deadline; ++tick) {
+        if (tick == 9 * requests_per_second) {
+            net.kill(0);
+            net.after(restart_time, [&net] { net.start_again(0); });
+        }
+        if (tick % requests_per_second == 0) {
+            for (std::size_t i = 0; i < nodes; ++i) {
+                net.check_in(i);
+            }
+        }
+        net.send(static_cast<std::size_t>(tick) % nodes, "d" + std::to_string(tick));
+        net.run_for(duration(1s) / requests_per_second);
+    }
+    BOOST_REQUIRE(!net.statuses().empty());
+    BOOST_TEST((net.statuses().back().phase != rollout_phase::running));
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_release_that_starts_cold_is_taken_back_within_a_short_order)
+{
+    constexpr int seconds = 11;
+    test_net net(nodes);
+    net.configure(true, 250ms, 100ms);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        const bool is_new = i >= first_new;
+        net.app(i).release = release_id{is_new ? "v2" : "v1"};
+        net.app(i).work = 40ms;
+        // Half of its requests take longer than their callers wait.
+        net.app(i).slow_each = is_new ? 2 : 0;
+        net.app(i).slow_factor = 8;
+        net.app(i).cold_until = is_new ? net.now() + 3s : time_point{};
+        net.check_in(i);
+    }
+    net.order_rollout("v2", seconds * 1s);
+    int sent = 0;
+    for (int tick = 0; tick < seconds * requests_per_second; ++tick) {
+        if (tick % requests_per_second == 0) {
+            for (std::size_t i = 0; i < nodes; ++i) {
+                net.check_in(i);
+            }
+        }
+        net.send(static_cast<std::size_t>(tick) % nodes, "c" + std::to_string(tick), 250ms);
+        ++sent;
+        net.run_for(duration(1s) / requests_per_second);
+    }
+    BOOST_REQUIRE(!net.statuses().empty());
+    BOOST_TEST((net.statuses().back().phase == rollout_phase::rolled_back));
+    BOOST_TEST(arrivals(net) <= sent / exposed_part + exposure_slack);
+}
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -46,16 +46,27 @@
 bool rollouts::on_order(const rollout_order& order, time_point now)
 {
     auto& view = views_[order.service];
-    if (order.row_version <= view.order.row_version) {
+    const bool same = order.row_version == view.order.row_version;
+    if (order.row_version < view.order.row_version || (same && view.order_known)) {
         return false;
     }
+    // What other nodes told of this order stays: share, stage and time already spent.
+    if (!same) {
+        start_anew(view, order, now);
+    }
+    view.order = order;
+    view.order_known = true;
+    return true;
+}
+
+void rollouts::start_anew(rollout_view& view, const rollout_order& order, time_point now)
+{
     const auto status_version = view.status_version;
     view = {};
     view.order = order;
     view.status_version = status_version;
     view.started_at = now;
     view.heard_at = now;
-    return true;
 }
 
 void rollouts::on_status(const rollout_status_read& happened)
@@ -104,11 +115,13 @@
     const bool known_phase = frame.phase >= 0 && frame.phase <= 2;
     if (frame.order > view.order.row_version) {
         // The order itself comes with the operators' rows; the target is enough to route by.
-        view = {};
-        view.order.service = service_id{frame.service_name};
-        view.order.target = release_id{frame.target};
-        view.started_at = now;
+        rollout_order order;
+        order.service = service_id{frame.service_name};
+        order.target = release_id{frame.target};
+        order.row_version = frame.order;
+        start_anew(view, order, now);
     }
+    view.started_at = std::min<time_point>(view.started_at, now - milliseconds(frame.age_ms));
     const bool final_here = view.phase != rollout_phase::running;
     const bool final_there = frame.phase != 0;
     if (!known_phase || (final_here && !final_there) ||
@@ -257,12 +270,12 @@
 bool rollouts::any_running() const
 {
     return std::any_of(views_.begin(), views_.end(), [](const auto& entry) {
-        return entry.second.order.row_version > 0 && !entry.second.final_written &&
+        return entry.second.order_known && !entry.second.final_written &&
                entry.second.phase == rollout_phase::running;
     });
 }
 
-mesh_wire::rollout_share rollouts::frame_of(const rollout_view& view)
+mesh_wire::rollout_share rollouts::frame_of(const rollout_view& view, time_point now)
 {
     mesh_wire::rollout_share out;
     out.__set_service_name(view.order.service.value());
@@ -272,15 +285,16 @@
     out.__set_permille(view.share.value());
     out.__set_stage(view.stage);
     out.__set_phase(static_cast<std::int32_t>(view.phase));
+    out.__set_age_ms((now - view.started_at) / milliseconds(1));
     return out;
 }
 
-std::vector<mesh_wire::rollout_share> rollouts::shares() const
+std::vector<mesh_wire::rollout_share> rollouts::shares(time_point now) const
 {
     std::vector<mesh_wire::rollout_share> out;
     for (const auto& [service, view] : views_) {
         if (view.order.row_version > 0) {
-            out.push_back(frame_of(view));
+            out.push_back(frame_of(view, now));
         }
     }
     return out;
@@ -289,20 +303,22 @@
 move_policy& rollouts::policy_of(const rollout_view& view, time_point now, const limits& allowed)
 {
     auto& known = policies_[view.order.service];
-    if (known.policy && known.order == view.order.row_version) {
-        return *known.policy;
-    }
-    known = {};
     const auto spec = spec_of(view, allowed);
-    known.order = view.order.row_version;
-    known.since = now;
-    known.policy = std::make_unique<move_policy>(spec, duration{});
-    move_status status;
-    status.phase = view.stage > 0 ? move_phase::progressing : move_phase::accepted;
-    status.share = view.share;
-    status.stage = view.stage;
-    status.changed_at = as_wall(view.stage > 0 ? now : view.started_at);
-    known.policy->set_move(spec, status, as_wall(now));
+    const bool is_new = !known.policy || known.order != view.order.row_version;
+    if (is_new) {
+        known = {};
+        known.order = view.order.row_version;
+        known.since = now;
+        known.policy = std::make_unique<move_policy>(spec, duration{});
+    }
+    auto status = known.policy->status();
+    if (is_new || status.stage != view.stage || status.share != view.share) {
+        status.phase = view.stage > 0 ? move_phase::progressing : move_phase::accepted;
+        status.share = view.share;
+        status.stage = view.stage;
+        status.changed_at = as_wall(view.stage > 0 ? now : view.started_at);
+        known.policy->set_move(spec, status, as_wall(now));
+    }
     return *known.policy;
 }
 
@@ -310,7 +326,7 @@
 {
     decisions out;
     for (auto& [service, view] : views_) {
-        if (view.order.row_version == 0 || view.final_written) {
+        if (!view.order_known || view.final_written) {
             continue;
         }
         view.heard_at = now;
@@ -332,6 +348,9 @@
     }
     const bool raises = decided.action == move_action::complete ||
                         (decided.action == move_action::set_share && decided.share > view.share);
+    if (raises && !allowed.may_raise) {
+        return;
+    }
     const auto& seen = policies_.at(view.order.service);
     if (raises && is_suspect(seen.old_total, seen.new_total)) {
         decided.action = move_action::revert;
@@ -344,12 +363,7 @@
     if (decided.action == move_action::set_share) {
         view.share = decided.share;
         view.stage = decided.stage;
-        auto status = policy.status();
-        status.phase = move_phase::progressing;
-        status.share = decided.share;
-        status.stage = decided.stage;
-        status.changed_at = as_wall(now);
-        policy.set_move(spec_of(view, allowed), status, as_wall(now));
+        policy_of(view, now, allowed);
     } else if (decided.action == move_action::complete) {
         view.phase = rollout_phase::completed;
         view.share = permille{static_cast<std::int32_t>(full_share)};
@@ -358,7 +372,7 @@
         view.share = permille{0};
     }
     ++view.sequence;
-    out.shares.push_back(frame_of(view));
+    out.shares.push_back(frame_of(view, now));
     out.lines.push_back({log_level::info,
                          "rollout.decided",
                          "",
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -20,12 +20,15 @@
 /// What a node knows of one service's roll-out.
 struct rollout_view {
     rollout_order order;
+    /// The order itself was read. Else service, target and row version are from another node's
+    /// word.
+    bool order_known = false;
     rollout_phase phase = rollout_phase::running;
     /// Part of the service's traffic that goes to the target while it runs.
     permille share{0};
     std::int32_t stage = 0;
     std::int64_t sequence = 0;
-    /// When the order was first seen here.
+    /// When the order was first seen by a node.
     time_point started_at{};
     /// Last word of the holder.
     time_point heard_at{};
@@ -70,6 +73,8 @@
     /// the time that the slowest request of a service may take.
     struct limits {
         double exposure = 0;
+        /// False while the decider has just taken over: what the others know is on its way.
+        bool may_raise = true;
         std::function<duration(const service_id&)> longest_request;
     };
     /// Decides on every roll-out; for the holder only.
@@ -77,7 +82,7 @@
     /// Outcomes that were noted here since the last call; empty when there are none.
     std::optional<mesh_wire::evidence> take_evidence();
     /// Frames that tell a node how all roll-outs stand.
-    std::vector<mesh_wire::rollout_share> shares() const;
+    std::vector<mesh_wire::rollout_share> shares(time_point now) const;
     /// Some roll-out is not over.
     bool any_running() const;
 
@@ -114,7 +119,9 @@
     void judge(rollout_view& view, time_point now, const limits& allowed, decisions& out);
     move_policy& policy_of(const rollout_view& view, time_point now, const limits& allowed);
     void write_status(rollout_view& view, time_point now, decisions& out);
-    static mesh_wire::rollout_share frame_of(const rollout_view& view);
+    static mesh_wire::rollout_share frame_of(const rollout_view& view, time_point now);
+    /// Forgets an earlier order of the service.
+    static void start_anew(rollout_view& view, const rollout_order& order, time_point now);
 
     std::map<service_id, rollout_view> views_;
     std::map<service_id, judged> policies_;
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <queue>
@@ -34,6 +35,11 @@
     /// Of so many answers one is a failure; 0: none.
     int fails_each = 0;
     int answers = 0;
+    /// Of so many requests one takes `slow_factor` times as long; 0: none.
+    int slow_each = 0;
+    int slow_factor = 1;
+    /// It says that it is slow until then.
+    time_point cold_until{};
     /// Answers are lost: the request runs and the node hears nothing.
     bool loses_answers = false;
     bool crashed = false;
@@ -109,6 +115,8 @@
         seen.release = app.release;
         seen.slots = app.slots;
         seen.draining = draining;
+        seen.cold_left =
+            std::max(0ms, std::chrono::duration_cast<milliseconds>(app.cold_until - now_));
         app.leaving = app.leaving || draining;
         feed(*hosts_.at(i), seen);
     }
@@ -367,7 +375,9 @@
         ++app.arrivals;
         app.most_running = std::max(app.most_running, app.running);
         from.at_work.insert(order.run);
-        at(app.work, [this, &from, run = order.run] { finish_run(from, run); });
+        const bool slow = app.slow_each > 0 && app.arrivals % app.slow_each == 0;
+        at(app.work * (slow ? app.slow_factor : 1),
+           [this, &from, run = order.run] { finish_run(from, run); });
     }
     void finish_run(host& from, run_id run)
     {
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -2701,6 +2701,10 @@
 void rollout_share::__set_phase(const int32_t val) {
   this->phase = val;
 }
+
+void rollout_share::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const rollout_share& obj)
 {
   obj.printTo(out);
@@ -2785,6 +2789,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2830,6 +2842,10 @@
   xfer += oprot->writeI32(this->phase);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2844,6 +2860,7 @@
   swap(a.permille, b.permille);
   swap(a.stage, b.stage);
   swap(a.phase, b.phase);
+  swap(a.age_ms, b.age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -2855,6 +2872,7 @@
   permille = other83.permille;
   stage = other83.stage;
   phase = other83.phase;
+  age_ms = other83.age_ms;
   __isset = other83.__isset;
 }
 rollout_share::rollout_share(rollout_share&& other84) noexcept {
@@ -2865,6 +2883,7 @@
   permille = other84.permille;
   stage = other84.stage;
   phase = other84.phase;
+  age_ms = other84.age_ms;
   __isset = other84.__isset;
 }
 rollout_share& rollout_share::operator=(const rollout_share& other85) {
@@ -2875,6 +2894,7 @@
   permille = other85.permille;
   stage = other85.stage;
   phase = other85.phase;
+  age_ms = other85.age_ms;
   __isset = other85.__isset;
   return *this;
 }
@@ -2886,6 +2906,7 @@
   permille = other86.permille;
   stage = other86.stage;
   phase = other86.phase;
+  age_ms = other86.age_ms;
   __isset = other86.__isset;
   return *this;
 }
@@ -2899,6 +2920,7 @@
   out << ", " << "permille=" << to_string(permille);
   out << ", " << "stage=" << to_string(stage);
   out << ", " << "phase=" << to_string(phase);
+  out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -1029,7 +1029,7 @@
 std::ostream& operator<<(std::ostream& out, const evidence& obj);
 
 typedef struct _rollout_share__isset {
-  _rollout_share__isset() : service_name(false), target(false), order(false), sequence(false), permille(false), stage(false), phase(false) {}
+  _rollout_share__isset() : service_name(false), target(false), order(false), sequence(false), permille(false), stage(false), phase(false), age_ms(false) {}
   bool service_name :1;
   bool target :1;
   bool order :1;
@@ -1037,6 +1037,7 @@
   bool permille :1;
   bool stage :1;
   bool phase :1;
+  bool age_ms :1;
 } _rollout_share__isset;
 
 class rollout_share : public virtual ::apache::thrift::TBase {
@@ -1053,7 +1054,8 @@
                   sequence(0),
                   permille(0),
                   stage(0),
-                  phase(0) {
+                  phase(0),
+                  age_ms(0) {
   }
 
   virtual ~rollout_share() noexcept;
@@ -1064,6 +1066,7 @@
   int32_t permille;
   int32_t stage;
   int32_t phase;
+  int64_t age_ms;
 
   _rollout_share__isset __isset;
 
@@ -1081,6 +1084,8 @@
 
   void __set_phase(const int32_t val);
 
+  void __set_age_ms(const int64_t val);
+
   bool operator == (const rollout_share & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -1097,6 +1102,8 @@
       return false;
     if (!(phase == rhs.phase))
       return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
     return true;
   }
   bool operator != (const rollout_share &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -157,6 +157,8 @@
   6: i32 stage
   // 0 running, 1 completed, 2 rolled back
   7: i32 phase
+  // Time since the order was first seen by a node.
+  8: i64 age_ms
 }
 
 struct mesh_frame {
