--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -638,7 +638,8 @@
         auto copy = push;
         copy.__set_relay_to(parts[i]);
         mesh_wire::mesh_frame frame;
-        frame.__set_rows(std::move(copy));
+        frame.rows = std::move(copy);
+        frame.__isset.rows = true;
         send_frame(*heads[i]->link, std::move(frame));
     }
 }
