Look over the routes for a roll-out's policy only when the policy changes

Found on reading the change again: policy_of() built the specification, a walk over all routes, at each judgement (200 ms) where before it did so on a new order or stage only. Ruled out: a change of behaviour; the policy is set under the same conditions. Change: it returns first when order, stage and share are the ones in force.

--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -303,8 +303,12 @@
 move_policy& rollouts::policy_of(const rollout_view& view, time_point now, const limits& allowed)
 {
     auto& known = policies_[view.order.service];
-    const auto spec = spec_of(view, allowed);
     const bool is_new = !known.policy || known.order != view.order.row_version;
+    if (!is_new && known.policy->status().stage == view.stage &&
+        known.policy->status().share == view.share) {
+        return *known.policy;
+    }
+    const auto spec = spec_of(view, allowed);
     if (is_new) {
         known = {};
         known.order = view.order.row_version;
@@ -312,13 +316,11 @@
         known.policy = std::make_unique<move_policy>(spec, duration{});
     }
     auto status = known.policy->status();
-    if (is_new || status.stage != view.stage || status.share != view.share) {
-        status.phase = view.stage > 0 ? move_phase::progressing : move_phase::accepted;
-        status.share = view.share;
-        status.stage = view.stage;
-        status.changed_at = as_wall(view.stage > 0 ? now : view.started_at);
-        known.policy->set_move(spec, status, as_wall(now));
-    }
+    status.phase = view.stage > 0 ? move_phase::progressing : move_phase::accepted;
+    status.share = view.share;
+    status.stage = view.stage;
+    status.changed_at = as_wall(view.stage > 0 ? now : view.started_at);
+    known.policy->set_move(spec, status, as_wall(now));
     return *known.policy;
 }
 
