Run the long cases of failures_test as tests of their own

All cases that it printed had passed; it runs 56 cases one after the other. Change: camphor_test takes LONG_CASES, each a CTest test of its own with the same limit; the other cases stay together, so that none is left out. Before: one test of 60 to 80 s. Conclusion: the limit stays a guard against a hang; no case or check changed.

--- a/src/cmake/camphor_targets.cmake
+++ b/src/cmake/camphor_targets.cmake
@@ -3,22 +3,34 @@
 add_custom_target(core_tests)
 add_custom_target(shell_tests)
 
-# camphor_test(NAME SOURCE... LIBS lib...): a Boost.Test program registered with CTest.
+# camphor_test(NAME SOURCE... LIBS lib... [LABELS label...] [LONG_CASES case...]): a Boost.Test
+# program registered with CTest. Each long case is a CTest test of its own, NAME.CASE, so that the
+# time limit of a test guards against a hang and not against a slow machine.
 function(camphor_test name)
   if(CAMPHOR_DAEMON_ONLY)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "" "LIBS;LABELS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "LIBS;LABELS;LONG_CASES" ${ARGN})
   add_executable(${name} ${ARG_UNPARSED_ARGUMENTS})
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
   target_link_libraries(${name} PRIVATE ${ARG_LIBS} camphor_warnings Boost::unit_test_framework)
   foreach(label IN LISTS ARG_LABELS)
     add_dependencies(${label}_tests ${name})
   endforeach()
-  add_test(NAME ${name} COMMAND ${name} --log_level=test_suite --report_level=short)
+  set(all_but_long "")
+  foreach(case IN LISTS ARG_LONG_CASES)
+    camphor_add_test(${name}.${case} ${name} "${ARG_LABELS}" --run_test=${case})
+    list(APPEND all_but_long --run_test=!${case})
+  endforeach()
+  camphor_add_test(${name} ${name} "${ARG_LABELS}" ${all_but_long})
+endfunction()
+
+# camphor_add_test(NAME PROGRAM LABELS ARGUMENT...): one CTest test.
+function(camphor_add_test name program labels)
+  add_test(NAME ${name} COMMAND ${program} --log_level=test_suite --report_level=short ${ARGN})
   set_tests_properties(${name} PROPERTIES
     TIMEOUT 120
-    LABELS "${ARG_LABELS}"
+    LABELS "${labels}"
     ENVIRONMENT "RC_PARAMS=seed=20261204;TSAN_OPTIONS=suppressions=${PROJECT_SOURCE_DIR}/src/cmake/tsan.supp")
 endfunction()
 
