Log when operators' rows were read and what a stopping node leaves

Change: store.rows_read with the wait, node.leaving with calls and runs under way, node.connections_closed with connections that carried something, camphor_store_read_age_seconds at nodes that read. One way to write milliseconds in log lines. Conclusion: no decision changed.

--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -1,5 +1,6 @@
 // The reducer: events to the parts that they concern.
 #include "libmesh/node.h"
+#include "libmesh/log_text.h"
 
 #include <algorithm>
 
@@ -44,6 +45,10 @@
         const bool late = now_ >= stop_asked_at_ + settings_.bounds.grace_period - stop_margin;
         if (idle || late) {
             told_stopped_ = true;
+            log(idle ? log_level::info : log_level::warning, "node.leaving", "",
+                {{"calls", std::to_string(calls_.size())},
+                 {"runs", std::to_string(runs_.size())},
+                 {"after_ms", millis(now_ - stop_asked_at_)}});
             out_.emplace_back(may_stop{});
         }
     }
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -1,4 +1,5 @@
 // The requests of the clients on this machine: route, place, retry, refuse.
+#include "libmesh/log_text.h"
 #include "libmesh/node.h"
 
 #include <algorithm>
@@ -53,11 +54,6 @@
     return "unknown";
 }
 
-std::string millis(duration value)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
-}
-
 } // namespace
 
 void node::take(const client_request& happened)
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -1,4 +1,5 @@
 // The owner's part: every request for the backend server beside this node passes here.
+#include "libmesh/log_text.h"
 #include "libmesh/node.h"
 
 #include <algorithm>
@@ -225,13 +226,10 @@
         return;
     }
     const auto& run = found->second;
-    const auto age = [this](time_point since) {
-        return std::to_string(std::chrono::duration_cast<milliseconds>(now_ - since).count());
-    };
     log(log_level::info, "run.cancelled", run.content->id,
         {{"backend", run.backend.value()},
-         {"asked_for_ms", age(run.offered_at)},
-         {"at_work_ms", run.sent ? age(run.sent_at) : "none"}});
+         {"asked_for_ms", millis(now_ - run.offered_at)},
+         {"at_work_ms", run.sent ? millis(now_ - run.sent_at) : "none"}});
     if (run.sent) {
         out_.emplace_back(drop_run{found->first});
         // It would have taken longer still. A short one tells nothing: its caller left.
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -376,6 +376,11 @@
             end_when_quiet(at_the_latest);
             return;
         }
+        write_log({quiet ? log_level::info : log_level::warning,
+                   "node.connections_closed",
+                   "",
+                   {{"outbound", std::to_string(outbound_.connections())},
+                    {"inbound", std::to_string(inbound_.connections())}}});
         peers_.close_all();
         io_.stop();
     });
@@ -420,6 +425,9 @@
     line("camphor_store_calls_total", static_cast<double>(store_.counters().calls));
     line("camphor_store_failures_total", static_cast<double>(store_.counters().failures));
     line("camphor_store_bytes_total", static_cast<double>(store_.counters().bytes));
+    if (const auto age = store_.read_age()) {
+        line("camphor_store_read_age_seconds", std::chrono::duration<double>(*age).count());
+    }
     line("camphor_log_lines_left_out_total", static_cast<double>(limiter_.total_left_out()));
     return out;
 }
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -1,6 +1,7 @@
 // Reads the store for one node.
 #include "libsidecar/store_follower.h"
 
+#include "libmesh/log_text.h"
 #include "platform/operator_rows.h"
 
 #include <algorithm>
@@ -61,6 +62,14 @@
     return out;
 }
 
+std::optional<duration> store_follower::read_age() const
+{
+    if (!following_) {
+        return std::nullopt;
+    }
+    return clock::now() - answered_at_;
+}
+
 void store_follower::log(log_level level, const std::string& name, mesh::log_fields fields)
 {
     on_log_({level, name, "", std::move(fields)});
@@ -199,6 +208,7 @@
 void store_follower::read_all()
 {
     feed_pending_ = true;
+    asked_at_ = clock::now();
     feed_.call(platform::read_table(platform::operator_table), call_limit,
                [this](const shell::store_reply& reply) { on_rows(reply, true); });
 }
@@ -210,6 +220,7 @@
         return;
     }
     feed_pending_ = true;
+    asked_at_ = clock::now();
     feed_.call(platform::follow_table(platform::operator_table, read_up_to_, feed_wait),
                feed_wait + feed_slack,
                [this](const shell::store_reply& reply) { on_rows(reply, false); });
@@ -245,7 +256,14 @@
         read_up_to_ = std::max(read_up_to_, answer.newest);
         happened.read_up_to = read_up_to_;
         happened.fresh = true;
+        answered_at_ = clock::now();
         note_contact(true, reply);
+        if (!happened.rows.empty()) {
+            log(log_level::info, "store.rows_read",
+                {{"rows", std::to_string(happened.rows.size())},
+                 {"read_up_to", std::to_string(read_up_to_)},
+                 {"waited_ms", mesh::millis(answered_at_ - asked_at_)}});
+        }
         on_event_(std::move(happened));
         if (whole_table && has_order) {
             // The order may be an old one that has its outcome.
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -8,7 +8,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -34,8 +36,13 @@
     void write(const mesh::write_rollout_status& order);
 
     shell::store_counters counters() const;
+    /// Time since the store last answered a read of the operators' rows (since the start before the
+    /// first answer); none while other nodes read them.
+    std::optional<duration> read_age() const;
 
 private:
+    using clock = std::chrono::steady_clock;
+
     void announce();
     void list_nodes();
     /// Lists the nodes whose rows' keys are not less than `first`.
@@ -63,6 +70,9 @@
     std::int64_t read_up_to_ = 0;
     bool following_ = true;
     bool feed_pending_ = false;
+    /// When the pending call for the operators' rows was sent.
+    clock::time_point asked_at_;
+    clock::time_point answered_at_ = clock::now();
     bool in_contact_ = false;
     int failures_ = 0;
     bool stopped_ = false;
