--- /dev/null
+++ b/src/libmesh/late_reads_test.cpp
@@ -0,0 +1,103 @@
+// Reads of the store that get no answer while their connection lives.
+#define BOOST_TEST_MODULE late_reads
+#include "libmesh/test_mesh_net.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <ostream>
+#include <vector>
+
+using namespace camphor;
+using namespace camphor::mesh;
+using namespace camphor::mesh::test;
+
+namespace {
+
+constexpr std::int64_t first_version = 2;
+constexpr std::int64_t changed_version = 3;
+
+struct late_case {
+    const char* name;
+    std::size_t nodes;
+    std::size_t zones;
+    /// Bytes of the configuration.
+    std::size_t bytes;
+    /// Nodes that the store leaves without an answer. The first of each zone reads for it.
+    std::vector<std::size_t> turned_away;
+    /// From the last answer to the outage, and from there to the change.
+    duration answer_to_outage;
+    duration outage_to_change;
+};
+
+std::ostream& operator<<(std::ostream& out, const late_case& item)
+{
+    return out << item.name;
+}
+
+const std::vector<late_case> late_cases{
+    {"the only reader of a zone", 4, 1, 1'000, {0}, 1ms, 0ms},
+    {"the reader and the next two", 6, 1, 1'000, {0, 1, 2}, 1ms, 0ms},
+    {"the readers of all zones", 12, 3, 1'000, {0, 1, 2, 3}, 1ms, 0ms},
+    {"the readers of all zones, a change later", 12, 3, 1'000, {0, 1, 2}, 400ms, 300ms},
+    {"the readers of all zones, a large configuration", 12, 3, 66'000, {0, 1, 2}, 1ms, 0ms},
+    {"the reader of a large zone, a large configuration", 32, 1, 66'000, {0, 1}, 1ms, 0ms},
+    {"others than the reader", 6, 1, 66'000, {2, 3}, 1ms, 0ms},
+};
+
+mesh_wire::operator_row configuration(std::int64_t version, std::size_t bytes)
+{
+    mesh_wire::operator_row row;
+    row.__set_key("config");
+    row.__set_row_version(version);
+    row.__set_document(std::string(bytes, version % 2 == 0 ? 'a' : 'b'));
+    return row;
+}
+
+bool contains(const std::vector<std::size_t>& items, std::size_t wanted)
+{
+    return std::find(items.begin(), items.end(), wanted) != items.end();
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(a_configuration_is_in_force_in_time_though_reads_of_the_store_hang,
+                     boost::unit_test::data::make(late_cases), item)
+{
+    const auto bound = mesh_bounds{}.config_apply;
+    test_net net(item.nodes, item.zones);
+    net.configure(true);
+    net.run_for(3s);
+    // Each reader's next read begins with this answer.
+    net.write_row(configuration(first_version, item.bytes));
+    net.run_for(item.answer_to_outage);
+    for (const auto node : item.turned_away) {
+        net.turn_away(node, true);
+    }
+    net.run_for(item.outage_to_change);
+    net.write_row(configuration(changed_version, item.bytes));
+    net.run_for(bound);
+    for (std::size_t i = 0; i < item.nodes; ++i) {
+        BOOST_TEST_CONTEXT("node " << i)
+        {
+            BOOST_TEST(
+                (contains(item.turned_away, i) || net.config_version_of(i) == changed_version));
+        }
+    }
+    // Those without answers hear of it from the others.
+    net.run_for(bound);
+    for (std::size_t i = 0; i < item.nodes; ++i) {
+        BOOST_TEST(net.config_version_of(i) == changed_version);
+    }
+    for (const auto node : item.turned_away) {
+        net.turn_away(node, false);
+    }
+    net.run_for(bound);
+    net.write_row(configuration(changed_version + 1, item.bytes));
+    net.run_for(bound);
+    for (std::size_t i = 0; i < item.nodes; ++i) {
+        BOOST_TEST(net.config_version_of(i) == changed_version + 1);
+    }
+}
--- a/src/libmesh/mesh_load_test.cpp
+++ b/src/libmesh/mesh_load_test.cpp
@@ -325,7 +325,8 @@
     net.configure(true);
     check_in_all(net);
     net.stop(0);
-    net.run_for(3s);
+    // Between the word that the process may end and its end.
+    net.run_for(2'700ms);
     net.send(0, "late");
     net.run_for(100ms);
     BOOST_TEST(net.results().at("late").status == 503);
--- /dev/null
+++ b/src/libmesh/stopping_test.cpp
@@ -0,0 +1,83 @@
+// Requests at a node that was asked to stop.
+#define BOOST_TEST_MODULE stopping
+#include "libmesh/test_mesh_net.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <vector>
+
+using namespace camphor;
+using namespace camphor::mesh;
+using namespace camphor::mesh::test;
+
+namespace {
+
+constexpr std::size_t nodes = 6;
+/// A refusal that comes later has kept its caller waiting.
+constexpr auto at_once = 50ms;
+
+struct stopping_case {
+    const char* name;
+    milliseconds grace;
+    /// Time that a backend server works on a request, and that the route allows.
+    milliseconds work;
+    milliseconds timeout;
+};
+
+std::ostream& operator<<(std::ostream& out, const stopping_case& item)
+{
+    return out << item.name;
+}
+
+const std::vector<stopping_case> stopping_cases{
+    {"short work", 6000ms, 80ms, 1000ms},
+    {"work of most of a second", 6000ms, 700ms, 2000ms},
+    {"work that takes nearly all of its time", 6000ms, 1900ms, 2000ms},
+    {"a short grace period", 3000ms, 700ms, 1000ms},
+    {"a long grace period", 15000ms, 1900ms, 4000ms},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(a_stopping_node_finishes_what_it_accepts_and_refuses_the_rest_at_once,
+                     boost::unit_test::data::make(stopping_cases), item)
+{
+    test_net net(nodes);
+    net.configure(true, item.timeout, item.timeout);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        auto bounds = mesh_bounds{};
+        bounds.grace_period = item.grace;
+        net.set_bounds(i, bounds);
+        net.app(i).slots = 40;
+        net.app(i).work = item.work;
+        net.check_in(i);
+    }
+    net.run_for(1s);
+    net.stop(0);
+    const auto stopped_at = net.now();
+    int sent = 0;
+    // Its clients do not hear of the stop.
+    while (!net.is_dead(0)) {
+        net.send(0, "s" + std::to_string(sent++), item.timeout);
+        net.run_for(25ms);
+    }
+    BOOST_TEST((net.now() - stopped_at <= item.grace));
+    int served = 0;
+    for (const auto& [id, result] : net.results()) {
+        served += result.status == 200 ? 1 : 0;
+        if (result.status != 200) {
+            BOOST_TEST_CONTEXT(id << " got " << result.status)
+            {
+                BOOST_TEST(result.status == 503);
+                BOOST_TEST((result.took <= at_once));
+                BOOST_TEST(net.runs(id) == 0);
+            }
+        }
+    }
+    BOOST_TEST(served > 0);
+    // The last ones cross the end of the process.
+    BOOST_TEST(net.unanswered_runs(0) == 0);
+}
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -3,6 +3,7 @@
 
 #include "libmesh/node.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <iostream>
@@ -66,7 +67,7 @@
         }
         for (auto& item : hosts_) {
             feed(*item, nodes_listed{records});
-            feed(*item, rows_read{{}, 1, true});
+            start_reading(*item);
         }
         run_for(1s);
     }
@@ -160,17 +161,7 @@
     void cut(std::size_t i, bool is_cut) { hosts_.at(i)->cut = is_cut; }
 
     /// The node's process dies: its connections break.
-    void kill(std::size_t i)
-    {
-        auto& dead = *hosts_.at(i);
-        dead.dead = true;
-        for (const auto& [id, item] : links_) {
-            if (item.from == &dead || item.to == &dead) {
-                const auto key = id;
-                at(1ms, [this, key] { break_link(key); });
-            }
-        }
-    }
+    void kill(std::size_t i) { kill_host(*hosts_.at(i)); }
 
     /// The node's process starts anew: it reads the store, and its backend server checks in.
     void start_again(std::size_t i)
@@ -193,7 +184,8 @@
         if (order_) {
             feed(again, order_read{*order_});
         }
-        feed(again, rows_read{{}, 1, true});
+        again.read_up_to = 0;
+        start_reading(again);
         if (!statuses_.empty()) {
             feed(again, rollout_status_read{statuses_.back(), status_version_});
         }
@@ -216,6 +208,45 @@
         feed(at, rows_read{{row}, row.row_version, true});
     }
 
+    /// The operators write a row; the nodes that read the store hear of it. Rows of the key
+    /// "config" are configurations of that version.
+    void write_row(const mesh_wire::operator_row& row)
+    {
+        store_rows_[row.key] = row;
+        for (auto& item : hosts_) {
+            read_store(*item, item->reading);
+        }
+    }
+
+    /// While it is turned away, the store leaves the node's reads unanswered.
+    void turn_away(std::size_t i, bool is_away)
+    {
+        hosts_.at(i)->is_turned_away = is_away;
+        read_store(*hosts_.at(i), hosts_.at(i)->reading);
+    }
+
+    std::int64_t config_version_of(std::size_t i) const
+    {
+        const auto& held = hosts_.at(i)->core.config();
+        return held ? held->version().value() : 0;
+    }
+
+    bool is_dead(std::size_t i) const { return hosts_.at(i)->dead; }
+
+    /// Requests of the node's clients that have run and got no answer.
+    std::size_t unanswered_runs(std::size_t i) const
+    {
+        const auto& clients = hosts_.at(i)->clients;
+        return static_cast<std::size_t>(
+            std::count_if(clients.begin(), clients.end(),
+                          [this](const auto& entry) { return runs(entry.second.id) > 0; }));
+    }
+
+    void set_bounds(std::size_t i, const mesh_bounds& bounds)
+    {
+        feed(*hosts_.at(i), bounds_changed{bounds});
+    }
+
     /// Last time at which the request began to run; none when it never did.
     std::optional<time_point> last_run(const std::string& id) const
     {
@@ -270,6 +301,11 @@
         std::set<run_id> at_work;
         bool cut = false;
         bool dead = false;
+        bool is_turned_away = false;
+        /// Tells the reads of the store since the node began to read from those before.
+        std::uint64_t reading = 0;
+        bool reads = false;
+        std::int64_t read_up_to = 0;
         std::size_t bytes_per_ms = 0;
         /// When the machine's link has sent all that waits.
         time_point link_free_at{};
@@ -294,6 +330,11 @@
 
     static constexpr duration link_delay = 1ms;
     static constexpr duration tick = 25ms;
+    static constexpr duration store_delay = 4ms;
+    /// A read of the store is answered after this long at the latest.
+    static constexpr duration longest_read = 800ms;
+    /// Between the word that a process may end and its end.
+    static constexpr duration goodbye = 500ms;
     /// Bytes of a frame beside rows and bodies.
     static constexpr std::size_t frame_overhead = 200;
 
@@ -440,6 +481,17 @@
         }
     }
 
+    void kill_host(host& dead)
+    {
+        dead.dead = true;
+        dead.reads = false;
+        for (const auto& [id, item] : links_) {
+            if (item.from == &dead || item.to == &dead) {
+                at(link_delay, [this, key = id] { break_link(key); });
+            }
+        }
+    }
+
     void apply(host& at, const mesh_wire::operator_row& row)
     {
         if (row.key == "config" && config_) {
@@ -475,11 +527,41 @@
 
     void perform(host& from, const follow_store& order)
     {
+        from.reads = false;
         if (order.follow) {
-            at(4ms, [this, &from] { feed(from, rows_read{{}, 1, true}); });
+            at(store_delay, [this, &from] { start_reading(from); });
         }
     }
 
+    void start_reading(host& from)
+    {
+        from.reads = true;
+        read_store(from, ++from.reading);
+    }
+
+    void read_store(host& from, std::uint64_t reading)
+    {
+        if (!from.reads || from.reading != reading || from.is_turned_away) {
+            return;
+        }
+        rows_read happened{{}, std::max<std::int64_t>(1, from.read_up_to), true};
+        for (const auto& [key, row] : store_rows_) {
+            if (row.row_version > from.read_up_to) {
+                happened.rows.push_back(row);
+                happened.read_up_to = std::max(happened.read_up_to, row.row_version);
+                apply(from, row);
+            }
+        }
+        from.read_up_to = happened.read_up_to;
+        feed(from, happened);
+        at(longest_read, [this, &from, reading] { read_store(from, reading); });
+    }
+
+    void perform(host& from, const may_stop&)
+    {
+        at(goodbye, [this, &from] { kill_host(from); });
+    }
+
     void perform(host& from, const send_to_peer& order)
     {
         for (const auto& [key, item] : links_) {
@@ -540,6 +622,8 @@
     /// By name of a node that is gone: who has its address.
     std::map<std::string, std::string> heirs_;
     std::priority_queue<timed> queue_;
+    /// The operators' rows in the store.
+    std::map<std::string, mesh_wire::operator_row> store_rows_;
     std::map<std::string, int> runs_;
     std::map<std::string, time_point> last_runs_;
     std::map<std::string, client_result> results_;
--- a/src/libsidecar/store_follower_test.cpp
+++ b/src/libsidecar/store_follower_test.cpp
@@ -65,6 +65,7 @@
                 nodes.insert(node.node);
             }
         }
+        answered_reads += std::holds_alternative<mesh::rows_read>(happened) ? 1 : 0;
         read_rows = read_rows || std::holds_alternative<mesh::rows_read>(happened);
         const auto* status = std::get_if<mesh::rollout_status_read>(&happened);
         statuses += status != nullptr ? 1 : 0;
@@ -87,6 +88,8 @@
     std::set<std::string> nodes;
     bool read_rows = false;
     int statuses = 0;
+    /// Reads of the operators' rows that the store answered.
+    int answered_reads = 0;
     store_follower follower{io,
                             {"127.0.0.1", port},
                             record_of("n0"),
@@ -130,4 +133,12 @@
     BOOST_TEST(store.follower.counters().calls <= 4U + static_cast<std::uint64_t>(orders));
 }
 
+BOOST_AUTO_TEST_CASE(hears_of_the_store_while_nothing_changes)
+{
+    constexpr int enough = 3;
+    followed_store store({});
+    store.run_until([](const followed_store& seen) { return seen.answered_reads >= enough; });
+    BOOST_TEST(store.answered_reads >= enough);
+}
+
 } // namespace camphor::sidecar
