Refuse at a stopping node what could outlast it

Cause: a stopping node took every request until it said that it may end (5.3 s of 6 s), with whatever deadline, and its process ends 0.5 s after that word. Ruled out: an answer that came and was not written. stopping_test has no sockets and showed the same. Change: once clients have had the time to learn of the stop, a request is taken only when its deadline is before the end; until then also when nobody that could run it would usually take longer than is left. The rest gets 503 at once, was not run and may come back. In a short grace period the time to learn is half of it. Elsewhere: runs for other nodes are refused from SIGTERM on already. Conclusion: what is accepted ends before the process does.

--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -17,9 +17,9 @@
 /// Of so many periodic reports one goes to other zones too: what changed is told to all at once,
 /// and answers carry how busy a node is.
 constexpr std::uint64_t reports_to_own_zone = 4;
-/// A stopping node stays this long at least: clients learn by two missed readiness questions, a
-/// second apart, that it takes nothing new.
-constexpr auto stop_notice = 2500ms;
+/// A stopping node stays this long at least, or half of a short grace period: clients learn by two
+/// missed readiness questions, a second apart, that it takes nothing new.
+constexpr duration stop_notice = 2500ms;
 /// Kept of the grace period for closing connections.
 constexpr auto stop_margin = 700ms;
 
@@ -41,9 +41,8 @@
     std::visit([this](const auto& item) { take(item); }, happened);
     start_waiting();
     if (stopping_ && !told_stopped_) {
-        const bool idle = calls_.empty() && runs_.empty() && now_ >= stop_asked_at_ + stop_notice;
-        const bool late = now_ >= stop_asked_at_ + settings_.bounds.grace_period - stop_margin;
-        if (idle || late) {
+        const bool idle = calls_.empty() && runs_.empty() && now_ >= notice_ends_at();
+        if (idle || now_ >= stops_at()) {
             told_stopped_ = true;
             log(idle ? log_level::info : log_level::warning, "node.leaving", "",
                 {{"calls", std::to_string(calls_.size())},
@@ -64,6 +63,16 @@
     return due;
 }
 
+time_point node::notice_ends_at() const
+{
+    return stop_asked_at_ + std::min(stop_notice, duration(settings_.bounds.grace_period) / 2);
+}
+
+time_point node::stops_at() const
+{
+    return stop_asked_at_ + settings_.bounds.grace_period - stop_margin;
+}
+
 double node::random_part()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -165,9 +165,15 @@
     void take(const bounds_changed& happened);
     void log(log_level level, std::string name, const std::string& request, log_fields fields);
     double random_part();
+    /// A stopping node ends from then on when it is idle.
+    time_point notice_ends_at() const;
+    /// A stopping node ends then, whatever is under way.
+    time_point stops_at() const;
 
     // node_calls.cpp: requests of the clients on this machine.
     service_id choose_service(const route& way);
+    /// Whether the call could still be under way when this node, which is stopping, ends.
+    bool may_outlast_stop(const call_state& call) const;
     /// Time that the client has waited already, before this attempt.
     duration waited_before(const route& way, milliseconds patience);
     void place(call_state& call);
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -16,6 +16,8 @@
 /// An answer is overdue after this many times the usual; of the usual work a few in a hundred take
 /// longer.
 constexpr int overdue_holds = 3;
+/// Nearly all requests end within this many times the usual.
+constexpr int usual_holds = 2;
 /// Owners that fail more than this part get no second attempts.
 constexpr double worst_hedge = 0.3;
 /// Owners that are asked for a place in their queue.
@@ -99,6 +101,10 @@
     call.objective = now_ + way->objective - waited_before(*way, patience);
     call.service = choose_service(*way);
     call.release = rollouts_.choose(call.service, random_part(), now_);
+    if (may_outlast_stop(call)) {
+        refuse_early(503, "stopping");
+        return;
+    }
     auto& budget = budgets_.try_emplace(call.service, settings_.bounds.budget_window).first->second;
     budget.on_request(now_);
     call.timer = timers_.emplace(call.deadline, call.call);
@@ -160,6 +166,21 @@
     return rollouts_.allows(app.service, app.release, call.release);
 }
 
+bool node::may_outlast_stop(const call_state& call) const
+{
+    if (!stopping_ || call.deadline <= stops_at()) {
+        return false;
+    }
+    if (now_ >= notice_ends_at()) {
+        return true;
+    }
+    // Clients do not know of the stop yet: what usually ends in time is served.
+    const auto all = candidates(call);
+    return !all.empty() && std::all_of(all.begin(), all.end(), [this](const auto& item) {
+        return now_ + item.hold * usual_holds > stops_at();
+    });
+}
+
 std::vector<candidate> node::candidates(const call_state& call) const
 {
     std::vector<candidate> out;
--- a/src/libmesh/stopping_test.cpp
+++ b/src/libmesh/stopping_test.cpp
@@ -36,6 +36,8 @@
     {"short work", 6000ms, 80ms, 1000ms},
     {"work of most of a second", 6000ms, 700ms, 2000ms},
     {"work that takes nearly all of its time", 6000ms, 1900ms, 2000ms},
+    {"work that outlasts the stop from its middle on", 6000ms, 2500ms, 5000ms},
+    {"work that outlasts the stop", 6000ms, 4000ms, 5000ms},
     {"a short grace period", 3000ms, 700ms, 1000ms},
     {"a long grace period", 15000ms, 1900ms, 4000ms},
 };
@@ -55,7 +57,12 @@
         net.app(i).work = item.work;
         net.check_in(i);
     }
-    net.run_for(1s);
+    // How long the work takes is learnt.
+    for (std::size_t i = 0; i < 2 * nodes; ++i) {
+        net.send(i % nodes, "before" + std::to_string(i), item.timeout);
+        net.run_for(item.work + 100ms);
+    }
+    net.results().clear();
     net.stop(0);
     const auto stopped_at = net.now();
     int sent = 0;
