Let other nodes read when the store does not answer a zone's reader in time

Seen by callers: CONFIG: 404 for a route that a configuration added more than two seconds before, at nodes that the store serves. Cause: a zone's reader asked for an answer within 20 s. While the store hangs on live connections of some nodes, such a read looks like one that waits for a change; the node counts as in contact and the others of its zone do not read. Ruled out: rows that were not decoded or passed on (the readers themselves applied the version 4.5 s late, with no other event); a read that was not sent (the answer came when the outage ended). Class: a wait that is longer than the bound it serves, so that silence means nothing. Change: reads are answered after two fifths of config_apply at the latest; a reader without an answer for three fifths is late, says so (store.read_late, camphor_store_late_reads_total, a field of its state), and the others of its zone read until it gets an answer in time. It stays the decider on roll-outs while it is in contact. Readers that begin or were late do not push large rows: all of the zone read then, and each of them would send a copy to each. Elsewhere: lists of nodes, announcements and statuses of roll-outs end after 2 s and are sent again; orders come with the same read as configurations.

--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -60,6 +60,8 @@
     std::int64_t config_version = 0;
     /// It reads the operators' rows from the store, and its last read succeeded.
     bool store_fresh = false;
+    /// The store has not answered its reads in time.
+    bool reads_late = false;
     /// Last frame from it, on any connection.
     time_point heard_at{};
     /// First request or ping since then; none while nothing is owed.
--- a/src/libmesh/mesh_settings.h
+++ b/src/libmesh/mesh_settings.h
@@ -39,6 +39,20 @@
     bool operator==(const mesh_bounds&) const = default;
 };
 
+/// A read that waits for a change of the operators' rows is answered after this long at the latest.
+/// Together with `read_slack` it leaves two fifths of the time until a configuration is in force
+/// for other nodes to read and pass on what a reader missed.
+constexpr milliseconds longest_read(const mesh_bounds& bounds)
+{
+    return bounds.config_apply * 2 / 5;
+}
+
+/// A read is late when it is answered so long after its wait: a hundred times the usual.
+constexpr milliseconds read_slack(const mesh_bounds& bounds)
+{
+    return bounds.config_apply / 5;
+}
+
 struct mesh_settings {
     node_id node;
     zone_id zone;
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -149,6 +149,7 @@
         finish_run(run, {mesh_wire::run_outcome::refused, nullptr, "deadline", {}}, false);
     }
     dial_missing();
+    notice_late_reads();
     choose_watcher();
     ping_zone();
     ping_owing();
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -31,6 +31,8 @@
     std::uint64_t runs = 0;
     std::uint64_t owner_refusals = 0;
     std::uint64_t membership_changes = 0;
+    /// Times that the store did not answer this node's reads in time.
+    std::uint64_t late_reads = 0;
     /// Requests that ended without a backend server's answer.
     std::map<std::string, std::uint64_t> refusals_by_reason;
 
@@ -239,6 +241,9 @@
     void pull_if_behind();
     /// One node in each zone reads the store for the others; each of them takes over by itself.
     void choose_watcher();
+    bool covers_zone(const peer& other) const;
+    bool is_read_overdue() const;
+    void notice_late_reads();
     void push_rows(const std::vector<mesh_wire::operator_row>& rows);
     /// Sends the rows to some of the nodes, each of which passes them on to a part of the others:
     /// no node sends more than a few copies, since requests wait behind them at its link.
@@ -309,6 +314,10 @@
     std::map<link_id, link_state> links_;
     std::int64_t revision_ = 0;
     bool store_fresh_ = false;
+    /// Last answer to a read of the operators' rows, or since when this node reads them.
+    std::optional<time_point> read_at_;
+    /// Invariant: only while `following_`.
+    bool reads_late_ = false;
     time_point next_pull_{};
     /// Nodes that asked for rows and have no answer yet.
     std::set<node_id> pullers_;
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -1,5 +1,6 @@
 // Connections to other nodes, and what they tell each other.
 #include "libmesh/document_delta.h"
+#include "libmesh/log_text.h"
 #include "libmesh/node.h"
 
 #include <camphortally/balancer.h>
@@ -235,6 +236,7 @@
     state.__set_stopping(stopping_);
     state.__set_config_version(config_ ? config_->version().value() : 0);
     state.__set_store_fresh(store_fresh_);
+    state.__set_reads_late(reads_late_);
     mesh_wire::mesh_frame frame;
     frame.__set_state(state);
     return frame;
@@ -454,7 +456,12 @@
     from.revision = state.revision;
     from.stopping = state.stopping;
     from.config_version = state.config_version;
+    const bool covered = covers_zone(from);
     from.store_fresh = state.store_fresh;
+    from.reads_late = state.reads_late;
+    if (covered && !covers_zone(from)) {
+        choose_watcher();
+    }
     if (state.__isset.backend) {
         const auto seen = from_wire(state.backend, now_);
         if (!from.app || from.app->id != seen.id || from.app->born != seen.born) {
@@ -521,7 +528,19 @@
 
 void node::take(const rows_read& happened)
 {
-    const bool turned = store_fresh_ != (happened.fresh && following_);
+    // Readers that begin, or that the store kept waiting, are not alone: the others of the zone
+    // read too, or pull what they lack.
+    const bool alone = store_fresh_ && !reads_late_;
+    const bool was_late = reads_late_;
+    if (happened.fresh && following_) {
+        if (reads_late_ && !is_read_overdue()) {
+            reads_late_ = false;
+            log(log_level::info, "store.read_in_time", "",
+                {{"read_up_to", std::to_string(happened.read_up_to)}});
+        }
+        read_at_ = now_;
+    }
+    const bool turned = store_fresh_ != (happened.fresh && following_) || was_late != reads_late_;
     store_fresh_ = happened.fresh && following_;
     read_up_to_ = std::max(read_up_to_, happened.read_up_to);
     std::vector<mesh_wire::operator_row> news;
@@ -532,8 +551,12 @@
             known = row;
         }
     }
+    const bool has_news = !news.empty();
+    if (!alone) {
+        std::erase_if(news, [](const auto& row) { return bytes_of({row}) > relayed_bytes; });
+    }
     push_rows(news);
-    if (turned || !news.empty()) {
+    if (turned || has_news) {
         // Other zones see by the version in it that there is something new.
         broadcast_state();
     }
@@ -645,18 +668,48 @@
     }
 }
 
+bool node::covers_zone(const peer& other) const
+{
+    return other.link && in_own_zone(other) && !other.stopping && other.store_fresh &&
+           !other.reads_late && now_ - other.heard_at < watcher_silence;
+}
+
+bool node::is_read_overdue() const
+{
+    return read_at_ &&
+           now_ - *read_at_ > longest_read(settings_.bounds) + read_slack(settings_.bounds);
+}
+
+void node::notice_late_reads()
+{
+    if (!following_ || reads_late_) {
+        return;
+    }
+    read_at_ = read_at_.value_or(now_);
+    if (!is_read_overdue()) {
+        return;
+    }
+    reads_late_ = true;
+    ++counters_.late_reads;
+    log(log_level::warning, "store.read_late", "",
+        {{"age_ms", millis(now_ - *read_at_)},
+         {"read_up_to", std::to_string(read_up_to_)},
+         {"in_contact", store_fresh_ ? "true" : "false"}});
+    broadcast_state();
+}
+
 void node::choose_watcher()
 {
     const bool covered =
         std::any_of(peers_.all().begin(), peers_.all().end(), [&](const auto& entry) {
-            const auto& other = entry.second;
-            return entry.first < settings_.node && other.link && in_own_zone(other) &&
-                   !other.stopping && other.store_fresh && now_ - other.heard_at < watcher_silence;
+            return entry.first < settings_.node && covers_zone(entry.second);
         });
     if (covered == following_) {
         following_ = !covered;
         out_.emplace_back(follow_store{following_});
         log(log_level::info, following_ ? "store.watching" : "store.watched_by_other", "", {});
+        read_at_ = now_;
+        reads_late_ = false;
         if (std::exchange(store_fresh_, false)) {
             // The others choose who decides on roll-outs by it.
             broadcast_state();
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -331,8 +331,6 @@
     static constexpr duration link_delay = 1ms;
     static constexpr duration tick = 25ms;
     static constexpr duration store_delay = 4ms;
-    /// A read of the store is answered after this long at the latest.
-    static constexpr duration longest_read = 800ms;
     /// Between the word that a process may end and its end.
     static constexpr duration goodbye = 500ms;
     /// Bytes of a frame beside rows and bodies.
@@ -554,7 +552,8 @@
         }
         from.read_up_to = happened.read_up_to;
         feed(from, happened);
-        at(longest_read, [this, &from, reading] { read_store(from, reading); });
+        at(longest_read(from.settings.bounds),
+           [this, &from, reading] { read_store(from, reading); });
     }
 
     void perform(host& from, const may_stop&)
--- a/src/libsidecar/node_metrics.cpp
+++ b/src/libsidecar/node_metrics.cpp
@@ -51,6 +51,7 @@
     line("camphor_runs_total", static_cast<double>(counts.runs));
     line("camphor_owner_refusals_total", static_cast<double>(counts.owner_refusals));
     line("camphor_membership_changes_total", static_cast<double>(counts.membership_changes));
+    line("camphor_store_late_reads_total", static_cast<double>(counts.late_reads));
     for (const auto& [reason, count] : counts.refusals_by_reason) {
         out += shell::metric_line("camphor_not_served_total{reason=\"" + reason + "\"}",
                                   static_cast<double>(count));
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -80,7 +80,7 @@
       app_(io_, settings_.app, [this](mesh::event happened) { post(std::move(happened)); }),
       peers_(io_, settings_.peers, [this](mesh::event happened) { post(std::move(happened)); }),
       store_(
-          io_, settings_.store, node_.record(),
+          io_, settings_.store, node_.record(), mesh::longest_read(settings_.bounds),
           [this](mesh::event happened) { post(std::move(happened)); },
           [this](const mesh::log_line& line) { write_log(line); }, std::random_device{}()),
       outbound_(io_, settings_.outbound.host, settings_.outbound.port, outbound_handlers()),
@@ -331,6 +331,7 @@
     if (change.bounds) {
         settings_.bounds = wanted.bounds;
         post(mesh::bounds_changed{wanted.bounds});
+        store_.set_longest_read(mesh::longest_read(wanted.bounds));
     }
     if (change.store) {
         settings_.store = wanted.store;
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -14,10 +14,6 @@
 
 /// A read or a write takes the store some milliseconds; when slow, up to a second.
 constexpr std::chrono::milliseconds call_limit{2'000};
-/// A feed answers after this long when nothing changes.
-constexpr std::chrono::milliseconds feed_wait{20'000};
-/// Allowed on top of the wait.
-constexpr std::chrono::milliseconds feed_slack{3'000};
 /// Pause after a failed call: between half of it and all of it, doubled up to the longest.
 constexpr std::chrono::milliseconds first_pause{200};
 constexpr std::chrono::milliseconds longest_pause{1'600};
@@ -26,11 +22,12 @@
 } // namespace
 
 store_follower::store_follower(boost::asio::io_context& io, const mesh::listen_address& store,
-                               mesh_wire::node_record self, event_function on_event,
-                               std::function<void(mesh::log_line)> on_log, std::uint64_t seed)
+                               mesh_wire::node_record self, std::chrono::milliseconds longest_read,
+                               event_function on_event, std::function<void(mesh::log_line)> on_log,
+                               std::uint64_t seed)
     : calls_(io, store), feed_(io, store), announce_timer_(io), follow_timer_(io),
-      self_(std::move(self)), on_event_(std::move(on_event)), on_log_(std::move(on_log)),
-      random_(seed)
+      self_(std::move(self)), longest_read_(longest_read), on_event_(std::move(on_event)),
+      on_log_(std::move(on_log)), random_(seed)
 {
 }
 
@@ -53,6 +50,11 @@
     feed_.set_address(store);
 }
 
+void store_follower::set_longest_read(std::chrono::milliseconds wait)
+{
+    longest_read_ = wait;
+}
+
 shell::store_counters store_follower::counters() const
 {
     auto out = calls_.counters();
@@ -221,8 +223,8 @@
     }
     feed_pending_ = true;
     asked_at_ = clock::now();
-    feed_.call(platform::follow_table(platform::operator_table, read_up_to_, feed_wait),
-               feed_wait + feed_slack,
+    feed_.call(platform::follow_table(platform::operator_table, read_up_to_, longest_read_),
+               longest_read_ + call_limit,
                [this](const shell::store_reply& reply) { on_rows(reply, false); });
 }
 
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -23,12 +23,15 @@
     /// `on_event` hears nodes_listed, config_read, order_read, rollout_status_read, rows_read and
     /// log-worthy changes; `on_log` hears of lost and regained contact and of unusable rows.
     store_follower(boost::asio::io_context& io, const mesh::listen_address& store,
-                   mesh_wire::node_record self, event_function on_event,
-                   std::function<void(mesh::log_line)> on_log, std::uint64_t seed);
+                   mesh_wire::node_record self, std::chrono::milliseconds longest_read,
+                   event_function on_event, std::function<void(mesh::log_line)> on_log,
+                   std::uint64_t seed);
 
     void start();
     void stop();
     void set_address(const mesh::listen_address& store);
+    /// The store is asked to answer a read after this long though nothing changed.
+    void set_longest_read(std::chrono::milliseconds wait);
     /// Whether the operators' rows are read from the store, or come from other nodes alone.
     void set_following(bool follow);
     /// Decodes rows that another node read.
@@ -63,6 +66,7 @@
     boost::asio::steady_timer announce_timer_;
     boost::asio::steady_timer follow_timer_;
     mesh_wire::node_record self_;
+    std::chrono::milliseconds longest_read_;
     event_function on_event_;
     std::function<void(mesh::log_line)> on_log_;
     std::mt19937_64 random_;
--- a/src/libsidecar/store_follower_test.cpp
+++ b/src/libsidecar/store_follower_test.cpp
@@ -36,7 +36,12 @@
 
 /// The stand-in and one node's follower; remembers what the follower tells.
 struct followed_store {
-    explicit followed_store(std::vector<platform::row_write> rows, bool with_order = false)
+    explicit followed_store(std::vector<platform::row_write> rows, bool with_order = false,
+                            std::chrono::milliseconds longest_read = std::chrono::seconds(20))
+        : follower(
+              io, {"127.0.0.1", port}, record_of("n0"), longest_read,
+              [this](const mesh::event& happened) { take(happened); }, [](const mesh::log_line&) {},
+              1)
     {
         if (with_order) {
             service.handle({"PUT",
@@ -90,12 +95,7 @@
     int statuses = 0;
     /// Reads of the operators' rows that the store answered.
     int answered_reads = 0;
-    store_follower follower{io,
-                            {"127.0.0.1", port},
-                            record_of("n0"),
-                            [this](const mesh::event& happened) { take(happened); },
-                            [](const mesh::log_line&) {},
-                            1};
+    store_follower follower;
 };
 
 } // namespace
@@ -136,7 +136,7 @@
 BOOST_AUTO_TEST_CASE(hears_of_the_store_while_nothing_changes)
 {
     constexpr int enough = 3;
-    followed_store store({});
+    followed_store store({}, false, mesh::longest_read(mesh::mesh_bounds{}));
     store.run_until([](const followed_store& seen) { return seen.answered_reads >= enough; });
     BOOST_TEST(store.answered_reads >= enough);
 }
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -1457,6 +1457,10 @@
 void node_state::__set_store_fresh(const bool val) {
   this->store_fresh = val;
 }
+
+void node_state::__set_reads_late(const bool val) {
+  this->reads_late = val;
+}
 std::ostream& operator<<(std::ostream& out, const node_state& obj)
 {
   obj.printTo(out);
@@ -1541,6 +1545,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reads_late);
+          this->__isset.reads_late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1587,6 +1599,10 @@
   xfer += oprot->writeBool(this->store_fresh);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reads_late", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->reads_late);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1601,6 +1617,7 @@
   swap(a.stopping, b.stopping);
   swap(a.config_version, b.config_version);
   swap(a.store_fresh, b.store_fresh);
+  swap(a.reads_late, b.reads_late);
   swap(a.__isset, b.__isset);
 }
 
@@ -1612,6 +1629,7 @@
   stopping = other25.stopping;
   config_version = other25.config_version;
   store_fresh = other25.store_fresh;
+  reads_late = other25.reads_late;
   __isset = other25.__isset;
 }
 node_state::node_state(node_state&& other26) noexcept {
@@ -1622,6 +1640,7 @@
   stopping = other26.stopping;
   config_version = other26.config_version;
   store_fresh = other26.store_fresh;
+  reads_late = other26.reads_late;
   __isset = other26.__isset;
 }
 node_state& node_state::operator=(const node_state& other27) {
@@ -1632,6 +1651,7 @@
   stopping = other27.stopping;
   config_version = other27.config_version;
   store_fresh = other27.store_fresh;
+  reads_late = other27.reads_late;
   __isset = other27.__isset;
   return *this;
 }
@@ -1643,6 +1663,7 @@
   stopping = other28.stopping;
   config_version = other28.config_version;
   store_fresh = other28.store_fresh;
+  reads_late = other28.reads_late;
   __isset = other28.__isset;
   return *this;
 }
@@ -1656,6 +1677,7 @@
   out << ", " << "stopping=" << to_string(stopping);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "store_fresh=" << to_string(store_fresh);
+  out << ", " << "reads_late=" << to_string(reads_late);
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -585,7 +585,7 @@
 std::ostream& operator<<(std::ostream& out, const backend_report& obj);
 
 typedef struct _node_state__isset {
-  _node_state__isset() : sender(false), revision(false), backend(false), load(false), stopping(false), config_version(false), store_fresh(false) {}
+  _node_state__isset() : sender(false), revision(false), backend(false), load(false), stopping(false), config_version(false), store_fresh(false), reads_late(false) {}
   bool sender :1;
   bool revision :1;
   bool backend :1;
@@ -593,6 +593,7 @@
   bool stopping :1;
   bool config_version :1;
   bool store_fresh :1;
+  bool reads_late :1;
 } _node_state__isset;
 
 class node_state : public virtual ::apache::thrift::TBase {
@@ -606,7 +607,8 @@
              : revision(0),
                stopping(0),
                config_version(0),
-               store_fresh(0) {
+               store_fresh(0),
+               reads_late(0) {
   }
 
   virtual ~node_state() noexcept;
@@ -617,6 +619,7 @@
   bool stopping;
   int64_t config_version;
   bool store_fresh;
+  bool reads_late;
 
   _node_state__isset __isset;
 
@@ -634,6 +637,8 @@
 
   void __set_store_fresh(const bool val);
 
+  void __set_reads_late(const bool val);
+
   bool operator == (const node_state & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -652,6 +657,8 @@
       return false;
     if (!(store_fresh == rhs.store_fresh))
       return false;
+    if (!(reads_late == rhs.reads_late))
+      return false;
     return true;
   }
   bool operator != (const node_state &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -95,6 +95,8 @@
   6: i64 config_version
   // True while the sender's own reads of the platform's store succeed.
   7: bool store_fresh
+  // True while the store has not answered the sender's reads in time.
+  8: bool reads_late
 }
 
 // Pieces [first, first + count) of the base document, then the literal bytes.
