--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -80,7 +80,7 @@
       app_(io_, settings_.app, [this](mesh::event happened) { post(std::move(happened)); }),
       peers_(io_, settings_.peers, [this](mesh::event happened) { post(std::move(happened)); }),
       store_(
-          io_, settings_.store, node_.record(),
+          io_, settings_.store, node_.record(), mesh::longest_read(settings_.bounds),
           [this](mesh::event happened) { post(std::move(happened)); },
           [this](const mesh::log_line& line) { write_log(line); }, std::random_device{}()),
       outbound_(io_, settings_.outbound.host, settings_.outbound.port, outbound_handlers()),
@@ -331,6 +331,7 @@
     if (change.bounds) {
         settings_.bounds = wanted.bounds;
         post(mesh::bounds_changed{wanted.bounds});
+        store_.set_longest_read(mesh::longest_read(wanted.bounds));
     }
     if (change.store) {
         settings_.store = wanted.store;
@@ -376,6 +377,11 @@
             end_when_quiet(at_the_latest);
             return;
         }
+        write_log({quiet ? log_level::info : log_level::warning,
+                   "node.connections_closed",
+                   "",
+                   {{"outbound", std::to_string(outbound_.connections())},
+                    {"inbound", std::to_string(inbound_.connections())}}});
         peers_.close_all();
         io_.stop();
     });
@@ -420,6 +426,9 @@
     line("camphor_store_calls_total", static_cast<double>(store_.counters().calls));
     line("camphor_store_failures_total", static_cast<double>(store_.counters().failures));
     line("camphor_store_bytes_total", static_cast<double>(store_.counters().bytes));
+    if (const auto age = store_.read_age()) {
+        line("camphor_store_read_age_seconds", std::chrono::duration<double>(*age).count());
+    }
     line("camphor_log_lines_left_out_total", static_cast<double>(limiter_.total_left_out()));
     return out;
 }
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -1,6 +1,7 @@
 // Reads the store for one node.
 #include "libsidecar/store_follower.h"
 
+#include "libmesh/log_text.h"
 #include "platform/operator_rows.h"
 
 #include <algorithm>
@@ -13,10 +14,6 @@
 
 /// A read or a write takes the store some milliseconds; when slow, up to a second.
 constexpr std::chrono::milliseconds call_limit{2'000};
-/// A feed answers after this long when nothing changes.
-constexpr std::chrono::milliseconds feed_wait{20'000};
-/// Allowed on top of the wait.
-constexpr std::chrono::milliseconds feed_slack{3'000};
 /// Pause after a failed call: between half of it and all of it, doubled up to the longest.
 constexpr std::chrono::milliseconds first_pause{200};
 constexpr std::chrono::milliseconds longest_pause{1'600};
@@ -25,11 +22,12 @@
 } // namespace
 
 store_follower::store_follower(boost::asio::io_context& io, const mesh::listen_address& store,
-                               mesh_wire::node_record self, event_function on_event,
-                               std::function<void(mesh::log_line)> on_log, std::uint64_t seed)
+                               mesh_wire::node_record self, std::chrono::milliseconds longest_read,
+                               event_function on_event, std::function<void(mesh::log_line)> on_log,
+                               std::uint64_t seed)
     : calls_(io, store), feed_(io, store), announce_timer_(io), follow_timer_(io),
-      self_(std::move(self)), on_event_(std::move(on_event)), on_log_(std::move(on_log)),
-      random_(seed)
+      self_(std::move(self)), longest_read_(longest_read), on_event_(std::move(on_event)),
+      on_log_(std::move(on_log)), random_(seed)
 {
 }
 
@@ -52,6 +50,11 @@
     feed_.set_address(store);
 }
 
+void store_follower::set_longest_read(std::chrono::milliseconds wait)
+{
+    longest_read_ = wait;
+}
+
 shell::store_counters store_follower::counters() const
 {
     auto out = calls_.counters();
@@ -61,6 +64,14 @@
     return out;
 }
 
+std::optional<duration> store_follower::read_age() const
+{
+    if (!following_) {
+        return std::nullopt;
+    }
+    return clock::now() - answered_at_;
+}
+
 void store_follower::log(log_level level, const std::string& name, mesh::log_fields fields)
 {
     on_log_({level, name, "", std::move(fields)});
@@ -199,6 +210,7 @@
 void store_follower::read_all()
 {
     feed_pending_ = true;
+    asked_at_ = clock::now();
     feed_.call(platform::read_table(platform::operator_table), call_limit,
                [this](const shell::store_reply& reply) { on_rows(reply, true); });
 }
@@ -210,8 +222,9 @@
         return;
     }
     feed_pending_ = true;
-    feed_.call(platform::follow_table(platform::operator_table, read_up_to_, feed_wait),
-               feed_wait + feed_slack,
+    asked_at_ = clock::now();
+    feed_.call(platform::follow_table(platform::operator_table, read_up_to_, longest_read_),
+               longest_read_ + call_limit,
                [this](const shell::store_reply& reply) { on_rows(reply, false); });
 }
 
@@ -245,7 +258,14 @@
         read_up_to_ = std::max(read_up_to_, answer.newest);
         happened.read_up_to = read_up_to_;
         happened.fresh = true;
+        answered_at_ = clock::now();
         note_contact(true, reply);
+        if (!happened.rows.empty()) {
+            log(log_level::info, "store.rows_read",
+                {{"rows", std::to_string(happened.rows.size())},
+                 {"read_up_to", std::to_string(read_up_to_)},
+                 {"waited_ms", mesh::millis(answered_at_ - asked_at_)}});
+        }
         on_event_(std::move(happened));
         if (whole_table && has_order) {
             // The order may be an old one that has its outcome.
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -8,7 +8,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -21,12 +23,15 @@
     /// `on_event` hears nodes_listed, config_read, order_read, rollout_status_read, rows_read and
     /// log-worthy changes; `on_log` hears of lost and regained contact and of unusable rows.
     store_follower(boost::asio::io_context& io, const mesh::listen_address& store,
-                   mesh_wire::node_record self, event_function on_event,
-                   std::function<void(mesh::log_line)> on_log, std::uint64_t seed);
+                   mesh_wire::node_record self, std::chrono::milliseconds longest_read,
+                   event_function on_event, std::function<void(mesh::log_line)> on_log,
+                   std::uint64_t seed);
 
     void start();
     void stop();
     void set_address(const mesh::listen_address& store);
+    /// The store is asked to answer a read after this long though nothing changed.
+    void set_longest_read(std::chrono::milliseconds wait);
     /// Whether the operators' rows are read from the store, or come from other nodes alone.
     void set_following(bool follow);
     /// Decodes rows that another node read.
@@ -34,8 +39,13 @@
     void write(const mesh::write_rollout_status& order);
 
     shell::store_counters counters() const;
+    /// Time since the store last answered a read of the operators' rows (since the start before the
+    /// first answer); none while other nodes read them.
+    std::optional<duration> read_age() const;
 
 private:
+    using clock = std::chrono::steady_clock;
+
     void announce();
     void list_nodes();
     /// Lists the nodes whose rows' keys are not less than `first`.
@@ -56,6 +66,7 @@
     boost::asio::steady_timer announce_timer_;
     boost::asio::steady_timer follow_timer_;
     mesh_wire::node_record self_;
+    std::chrono::milliseconds longest_read_;
     event_function on_event_;
     std::function<void(mesh::log_line)> on_log_;
     std::mt19937_64 random_;
@@ -63,6 +74,9 @@
     std::int64_t read_up_to_ = 0;
     bool following_ = true;
     bool feed_pending_ = false;
+    /// When the pending call for the operators' rows was sent.
+    clock::time_point asked_at_;
+    clock::time_point answered_at_ = clock::now();
     bool in_contact_ = false;
     int failures_ = 0;
     bool stopped_ = false;
--- a/src/libsidecar/store_follower_test.cpp
+++ b/src/libsidecar/store_follower_test.cpp
@@ -36,7 +36,12 @@
 
 /// The stand-in and one node's follower; remembers what the follower tells.
 struct followed_store {
-    explicit followed_store(std::vector<platform::row_write> rows, bool with_order = false)
+    explicit followed_store(std::vector<platform::row_write> rows, bool with_order = false,
+                            std::chrono::milliseconds longest_read = std::chrono::seconds(20))
+        : follower(
+              io, {"127.0.0.1", port}, record_of("n0"), longest_read,
+              [this](const mesh::event& happened) { take(happened); }, [](const mesh::log_line&) {},
+              1)
     {
         if (with_order) {
             service.handle({"PUT",
@@ -65,6 +70,7 @@
                 nodes.insert(node.node);
             }
         }
+        answered_reads += std::holds_alternative<mesh::rows_read>(happened) ? 1 : 0;
         read_rows = read_rows || std::holds_alternative<mesh::rows_read>(happened);
         const auto* status = std::get_if<mesh::rollout_status_read>(&happened);
         statuses += status != nullptr ? 1 : 0;
@@ -87,12 +93,9 @@
     std::set<std::string> nodes;
     bool read_rows = false;
     int statuses = 0;
-    store_follower follower{io,
-                            {"127.0.0.1", port},
-                            record_of("n0"),
-                            [this](const mesh::event& happened) { take(happened); },
-                            [](const mesh::log_line&) {},
-                            1};
+    /// Reads of the operators' rows that the store answered.
+    int answered_reads = 0;
+    store_follower follower;
 };
 
 } // namespace
@@ -130,4 +133,12 @@
     BOOST_TEST(store.follower.counters().calls <= 4U + static_cast<std::uint64_t>(orders));
 }
 
+BOOST_AUTO_TEST_CASE(hears_of_the_store_while_nothing_changes)
+{
+    constexpr int enough = 3;
+    followed_store store({}, false, mesh::longest_read(mesh::mesh_bounds{}));
+    store.run_until([](const followed_store& seen) { return seen.answered_reads >= enough; });
+    BOOST_TEST(store.answered_reads >= enough);
+}
+
 } // namespace camphor::sidecar
