Bring a roll-out's policy up to date in one step, and drop a flag that nothing reads

Cause: policy_of() returned a policy and also brought it up to date; judge() called it for its effect alone. move_policy::thin_ was set and never read. Change: sync_policy() does the one, judge() reads the policy itself. No decision changed. Before and after: rollouts_test, rollout_handover_test and move_policy_test pass.

--- a/src/include/camphortally/move_policy.h
+++ b/src/include/camphortally/move_policy.h
@@ -109,8 +109,6 @@
     /// Slow part of the calls at the last excused alarm; 0 when there was none.
     double excused_ratio_ = 0;
     std::optional<wall_time> excused_at_;
-    /// The stage was entered without enough evidence, as the operator's setting asks.
-    bool thin_ = false;
 };
 
 } // namespace camphor
--- a/src/libcamphor/move_policy.cpp
+++ b/src/libcamphor/move_policy.cpp
@@ -273,7 +273,6 @@
     if (spec_.on_thin_evidence == thin_evidence::revert) {
         return end(move_action::revert, why);
     }
-    thin_ = true;
     // One stage at a time: what shows only under more traffic still shows at a part of it.
     return next_stage(status_.stage + 1, why + "; goes on as set");
 }
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -300,13 +300,13 @@
     return out;
 }
 
-move_policy& rollouts::policy_of(const rollout_view& view, time_point now, const limits& allowed)
+void rollouts::sync_policy(const rollout_view& view, time_point now, const limits& allowed)
 {
     auto& known = policies_[view.order.service];
     const bool is_new = !known.policy || known.order != view.order.row_version;
     if (!is_new && known.policy->status().stage == view.stage &&
         known.policy->status().share == view.share) {
-        return *known.policy;
+        return;
     }
     const auto spec = spec_of(view, allowed);
     if (is_new) {
@@ -321,7 +321,6 @@
     status.stage = view.stage;
     status.changed_at = as_wall(view.stage > 0 ? now : view.started_at);
     known.policy->set_move(spec, status, as_wall(now));
-    return *known.policy;
 }
 
 rollouts::decisions rollouts::decide(time_point now, const limits& allowed)
@@ -342,8 +341,9 @@
 
 void rollouts::judge(rollout_view& view, time_point now, const limits& allowed, decisions& out)
 {
-    auto& policy = policy_of(view, now, allowed);
-    auto decided = policy.decide(as_wall(now));
+    sync_policy(view, now, allowed);
+    const auto& seen = policies_.at(view.order.service);
+    auto decided = seen.policy->decide(as_wall(now));
     if (const auto fault = gross_fault(view)) {
         decided.action = move_action::revert;
         decided.reason = *fault;
@@ -353,7 +353,6 @@
     if (raises && !allowed.may_raise) {
         return;
     }
-    const auto& seen = policies_.at(view.order.service);
     if (raises && is_suspect(seen.old_total, seen.new_total)) {
         decided.action = move_action::revert;
         decided.reason = "it failed too often to get more traffic on this evidence";
@@ -365,7 +364,7 @@
     if (decided.action == move_action::set_share) {
         view.share = decided.share;
         view.stage = decided.stage;
-        policy_of(view, now, allowed);
+        sync_policy(view, now, allowed);
     } else if (decided.action == move_action::complete) {
         view.phase = rollout_phase::completed;
         view.share = permille{static_cast<std::int32_t>(full_share)};
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -117,7 +117,8 @@
     /// A fault of the new release that needs no further proof.
     std::optional<std::string> gross_fault(const rollout_view& view);
     void judge(rollout_view& view, time_point now, const limits& allowed, decisions& out);
-    move_policy& policy_of(const rollout_view& view, time_point now, const limits& allowed);
+    /// Brings the policy of the view's order, made anew for a new order, to the view's stage.
+    void sync_policy(const rollout_view& view, time_point now, const limits& allowed);
     void write_status(rollout_view& view, time_point now, decisions& out);
     static mesh_wire::rollout_share frame_of(const rollout_view& view, time_point now);
     /// Forgets an earlier order of the service.
