Log which requests are the same but for their ids, and which runs break together

Change: a request has a print, the hash of its host, method, target and body with the service that calls. It goes to the owner with the run; attempt.not_served shows it, and run.broken shows it at the owner with the time at work and the number of others at work. No decision uses it.

--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -6,6 +6,7 @@
 #include "libmesh/mesh_settings.h"
 #include "libmesh/messages.h"
 #include "libmesh/placement.h"
+#include "libmesh/request_print.h"
 #include "libmesh/retry_window.h"
 #include "libmesh/rollouts.h"
 #include "libmesh/slot_queue.h"
@@ -86,6 +87,7 @@
     struct call_state {
         call_id call;
         request_ptr content;
+        request_print print;
         /// One call keeps one configuration from start to end.
         mesh_config_ptr config;
         const route* way = nullptr;
@@ -126,7 +128,7 @@
         request_ptr content;
         backend_id backend;
         route_id way;
-        std::string caller_service;
+        request_print print;
         time_point deadline;
         bool safe = false;
         bool sent = false;
@@ -216,6 +218,7 @@
     void start_waiting();
     bool has_left(const backend_checked_in& happened);
     void note_outcome(bool failed);
+    void log_broken(const run_state& run, const std::string& reason);
     void note_release(const run_state& run, bool good);
     void retire_backend(backend_state state, const std::string& reason);
     mesh_wire::owner_load load(const route_id& way) const;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -92,6 +92,7 @@
     call_state call;
     call.call = happened.call;
     call.content = happened.content;
+    call.print = print_of(content, settings_.service);
     call.config = config_;
     call.way = way;
     call.arrived = now_;
@@ -315,6 +316,7 @@
     wanted.__set_may_wait(may_wait);
     wanted.__set_safe(call.way->safe);
     wanted.__set_repeated(call.arrivals > 0);
+    wanted.__set_content_print(static_cast<std::int64_t>(call.print.content));
     const auto left = std::chrono::duration_cast<milliseconds>(call.deadline - now_).count();
     wanted.__set_time_left_ms(static_cast<std::int32_t>(left));
     const auto objective = std::chrono::duration_cast<milliseconds>(call.objective - now_).count();
@@ -358,6 +360,7 @@
              {"backend", tried.backend.value()},
              {"release", tried.release.value()},
              {"outcome", name_of(result.outcome)},
+             {"print", text_of(call.print)},
              {"status", std::to_string(status)},
              {"reason", result.reason},
              {"wait_ms", millis(result.wait)},
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -27,7 +27,8 @@
     run.content = std::move(content);
     run.backend = backend_id{wanted.backend};
     run.way = route_id{wanted.route};
-    run.caller_service = wanted.caller_service;
+    run.print = {static_cast<std::uint64_t>(wanted.content_print),
+                 service_id{wanted.caller_service}};
     run.deadline = now_ + milliseconds(wanted.time_left_ms);
     run.safe = wanted.safe;
     run.offered_at = now_;
@@ -76,7 +77,7 @@
     send_to_app order;
     order.run = id;
     order.content = run.content;
-    order.caller_service = run.caller_service;
+    order.caller_service = run.print.caller.value();
     order.expected = run.backend;
     order.time_left = std::chrono::duration_cast<milliseconds>(run.deadline - now_);
     order.unsafe = !run.safe;
@@ -195,9 +196,20 @@
     }
     note_release(found->second, false);
     const auto* reason = happened.kind == app_failure::garbled ? "garbled" : "broken";
+    log_broken(found->second, reason);
     finish_run(happened.run, {mesh_wire::run_outcome::failed, nullptr, reason, {}}, false);
 }
 
+void node::log_broken(const run_state& run, const std::string& reason)
+{
+    log(log_level::info, "run.broken", run.content->id,
+        {{"backend", run.backend.value()},
+         {"reason", reason},
+         {"print", text_of(run.print)},
+         {"at_work_ms", millis(now_ - run.sent_at)},
+         {"others_at_work", std::to_string(queue_.running() - 1)}});
+}
+
 void node::note_release(const run_state& run, bool good)
 {
     // A cold backend server is slow whatever its release.
--- /dev/null
+++ b/src/libmesh/request_print.cpp
@@ -0,0 +1,30 @@
+// Hashes what a client repeats of a request.
+#include "libmesh/request_print.h"
+
+#include <camphortally/balancer.h>
+
+#include <array>
+#include <charconv>
+
+namespace camphor::mesh {
+
+request_print print_of(const request& content, const service_id& caller)
+{
+    // Each part's hash is the seed of the next, so that bytes do not move from one to another.
+    auto hash = stable_hash(content.host);
+    for (const auto* part : {&content.method, &content.target, &content.body}) {
+        hash = stable_hash(*part, hash);
+    }
+    return {hash, caller};
+}
+
+std::string text_of(const request_print& print)
+{
+    constexpr int hexadecimal = 16;
+    std::array<char, sizeof(print.content) * 2> digits{};
+    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                            print.content, hexadecimal);
+    return std::string(digits.data(), end) + "/" + print.caller.value();
+}
+
+} // namespace camphor::mesh
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -299,6 +299,10 @@
 void run_request::__set_repeated(const bool val) {
   this->repeated = val;
 }
+
+void run_request::__set_content_print(const int64_t val) {
+  this->content_print = val;
+}
 std::ostream& operator<<(std::ostream& out, const run_request& obj)
 {
   obj.printTo(out);
@@ -447,6 +451,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content_print);
+          this->__isset.content_print = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -524,6 +536,10 @@
   xfer += oprot->writeBool(this->repeated);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("content_print", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->content_print);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -546,6 +562,7 @@
   swap(a.may_wait, b.may_wait);
   swap(a.safe, b.safe);
   swap(a.repeated, b.repeated);
+  swap(a.content_print, b.content_print);
   swap(a.__isset, b.__isset);
 }
 
@@ -565,6 +582,7 @@
   may_wait = other4.may_wait;
   safe = other4.safe;
   repeated = other4.repeated;
+  content_print = other4.content_print;
   __isset = other4.__isset;
 }
 run_request::run_request(run_request&& other5) noexcept {
@@ -583,6 +601,7 @@
   may_wait = other5.may_wait;
   safe = other5.safe;
   repeated = other5.repeated;
+  content_print = other5.content_print;
   __isset = other5.__isset;
 }
 run_request& run_request::operator=(const run_request& other6) {
@@ -601,6 +620,7 @@
   may_wait = other6.may_wait;
   safe = other6.safe;
   repeated = other6.repeated;
+  content_print = other6.content_print;
   __isset = other6.__isset;
   return *this;
 }
@@ -620,6 +640,7 @@
   may_wait = other7.may_wait;
   safe = other7.safe;
   repeated = other7.repeated;
+  content_print = other7.content_print;
   __isset = other7.__isset;
   return *this;
 }
@@ -641,6 +662,7 @@
   out << ", " << "may_wait=" << to_string(may_wait);
   out << ", " << "safe=" << to_string(safe);
   out << ", " << "repeated=" << to_string(repeated);
+  out << ", " << "content_print=" << to_string(content_print);
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -140,7 +140,7 @@
 std::ostream& operator<<(std::ostream& out, const owner_load& obj);
 
 typedef struct _run_request__isset {
-  _run_request__isset() : call(false), backend(false), route(false), method(false), target(false), head(false), body(false), request_id(false), time_left_ms(false), objective_left_ms(false), caller_service(false), rank(false), may_wait(false), safe(false), repeated(false) {}
+  _run_request__isset() : call(false), backend(false), route(false), method(false), target(false), head(false), body(false), request_id(false), time_left_ms(false), objective_left_ms(false), caller_service(false), rank(false), may_wait(false), safe(false), repeated(false), content_print(false) {}
   bool call :1;
   bool backend :1;
   bool route :1;
@@ -156,6 +156,7 @@
   bool may_wait :1;
   bool safe :1;
   bool repeated :1;
+  bool content_print :1;
 } _run_request__isset;
 
 class run_request : public virtual ::apache::thrift::TBase {
@@ -180,7 +181,8 @@
                 rank(0),
                 may_wait(0),
                 safe(0),
-                repeated(0) {
+                repeated(0),
+                content_print(0) {
   }
 
   virtual ~run_request() noexcept;
@@ -199,6 +201,7 @@
   bool may_wait;
   bool safe;
   bool repeated;
+  int64_t content_print;
 
   _run_request__isset __isset;
 
@@ -232,6 +235,8 @@
 
   void __set_repeated(const bool val);
 
+  void __set_content_print(const int64_t val);
+
   bool operator == (const run_request & rhs) const
   {
     if (!(call == rhs.call))
@@ -264,6 +269,8 @@
       return false;
     if (!(repeated == rhs.repeated))
       return false;
+    if (!(content_print == rhs.content_print))
+      return false;
     return true;
   }
   bool operator != (const run_request &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -34,6 +34,8 @@
   14: bool safe
   // The sender counts this arrival as a retry.
   15: bool repeated
+  // Hash of what stays the same when a client repeats the request; 0 when the sender does not tell.
+  16: i64 content_print
 }
 
 enum run_outcome {
