--- /dev/null
+++ b/src/libmesh/crash_request_test.cpp
@@ -0,0 +1,182 @@
+// A request that ends every backend server which runs it, beside others on its route.
+#define BOOST_TEST_MODULE crash_request
+#include "libmesh/test_mesh_net.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace camphor;
+using namespace camphor::mesh;
+using namespace camphor::mesh::test;
+
+namespace {
+
+constexpr std::size_t nodes = 6;
+/// The users' rule: of the arrivals at backend servers so long after the third end, more than three
+/// are too many.
+constexpr auto contact = 3s;
+constexpr std::size_t most_late = 3;
+const std::string crash_target = "/p/crash";
+
+struct play {
+    bool safe = false;
+    /// Between two requests that end backend servers; a round sends `at_once` of them.
+    milliseconds pause{350};
+    int at_once = 1;
+    /// Other requests a second; every `popular_each`th has the same target.
+    int others = 30;
+    int popular_each = 0;
+    milliseconds work{40};
+    milliseconds down{800};
+    bool silent = false;
+    duration span = 16s;
+};
+
+class crash_play {
+public:
+    explicit crash_play(const play& wanted) : net(nodes), wanted_(wanted)
+    {
+        net.configure(wanted.safe, 2000ms, 500ms);
+        for (std::size_t i = 0; i < nodes; ++i) {
+            auto& app = net.app(i);
+            app.ends_by = crash_target;
+            app.work = wanted.work;
+            app.down = wanted.down;
+            app.ends_silently = wanted.silent;
+            net.check_in(i);
+        }
+        net.run_for(500ms);
+    }
+
+    void run() { run_for(wanted_.span); }
+
+    void run_for(duration span)
+    {
+        const auto end = net.now() + span;
+        auto next_crash = net.now();
+        while (net.now() < end) {
+            if (net.now() >= next_crash) {
+                next_crash += wanted_.pause;
+                for (int i = 0; i < wanted_.at_once; ++i) {
+                    send_crashing();
+                }
+            }
+            const int number = ++others_;
+            const bool popular = wanted_.popular_each > 0 && number % wanted_.popular_each == 0;
+            const auto id = "o" + std::to_string(number);
+            net.send_to(static_cast<std::size_t>(number) % nodes, id,
+                        popular ? "/p/popular" : "/p/" + id);
+            net.run_for(duration(1s) / wanted_.others);
+        }
+        net.run_for(3s);
+    }
+
+    void send_crashing()
+    {
+        const int number = ++crashing_;
+        net.send_to(static_cast<std::size_t>(number) % nodes, "c" + std::to_string(number),
+                    crash_target);
+    }
+
+    std::size_t late_ends() const
+    {
+        const auto& ends = net.ends();
+        return ends.size() < 3 ? 0U
+                               : static_cast<std::size_t>(
+                                     std::count_if(ends.begin(), ends.end(), [&](time_point at) {
+                                         return at > ends[2] + contact;
+                                     }));
+    }
+
+    /// Part of the other requests since the `first`th that were served.
+    double served_since(int first)
+    {
+        int served = 0;
+        for (int i = first; i <= others_; ++i) {
+            served += net.results()["o" + std::to_string(i)].status == 200 ? 1 : 0;
+        }
+        return static_cast<double>(served) / std::max(1, others_ - first + 1);
+    }
+
+    /// What callers were told "not run" has not run.
+    void check_refusals()
+    {
+        for (const auto& [id, result] : net.results()) {
+            if (result.status == 503) {
+                BOOST_TEST_CONTEXT(id)
+                {
+                    BOOST_TEST(net.runs(id) == 0);
+                }
+            }
+        }
+    }
+
+    int others() const { return others_; }
+
+    test_net net;
+
+private:
+    play wanted_;
+    int others_ = 0;
+    int crashing_ = 0;
+};
+
+struct crash_case {
+    const char* name;
+    play wanted;
+    /// Strikes some seconds after the start.
+    std::function<void(test_net&)> trouble = [](test_net&) {};
+};
+
+std::ostream& operator<<(std::ostream& out, const crash_case& item)
+{
+    return out << item.name;
+}
+
+void cut_zone(test_net& net, bool is_cut)
+{
+    // Zones are dealt round the nodes.
+    for (std::size_t i = 0; i < nodes; i += 3) {
+        net.cut(i, is_cut);
+    }
+}
+
+const std::vector<crash_case> crash_cases{
+    {"unsafe, by turns at all nodes", {}},
+    {"safe: nodes send it once more themselves", {.safe = true}},
+    {"several at once", {.at_once = 4}},
+    {"seldom", {.pause = 2500ms}},
+    {"beside long requests", {.others = 60, .work = 300ms}},
+    {"beside a popular request", {.safe = true, .popular_each = 2, .work = 100ms}},
+    {"backend servers that fall silent", {.silent = true}},
+    {"backend servers that are away for long", {.down = 4000ms}},
+    {"the node that saw the first ends dies", {.pause = 700ms},
+     [](test_net& net) {
+         net.kill(1);
+         net.after(2s, [&net] { net.start_again(1); });
+     }},
+    {"a zone is cut off", {},
+     [](test_net& net) {
+         cut_zone(net, true);
+         net.after(5s, [&net] { cut_zone(net, false); });
+     }},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(a_request_that_ends_backend_servers_is_kept_from_them,
+                     boost::unit_test::data::make(crash_cases), item)
+{
+    crash_play day(item.wanted);
+    day.net.after(3s, [&] { item.trouble(day.net); });
+    day.run();
+    BOOST_TEST(day.net.ends().size() >= 3U);
+    BOOST_TEST(day.late_ends() <= most_late);
+    day.check_refusals();
+}
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -44,6 +44,13 @@
     /// Answers are lost: the request runs and the node hears nothing.
     bool loses_answers = false;
     bool crashed = false;
+    /// A request with this target ends it; it is back as a new instance after `down`. Empty: none.
+    std::string ends_by;
+    duration down = 800ms;
+    /// Connections hang when it ends, instead of breaking.
+    bool ends_silently = false;
+    /// Starts so far.
+    std::int64_t life = 1;
     std::int64_t sequence = 0;
     int running = 0;
     int most_running = 0;
@@ -105,22 +112,7 @@
         }
     }
 
-    void check_in(std::size_t i, bool draining = false)
-    {
-        auto& app = hosts_.at(i)->app;
-        backend_checked_in seen;
-        seen.id = app.id;
-        seen.born = 1;
-        seen.sequence = ++app.sequence;
-        seen.service = app.service;
-        seen.release = app.release;
-        seen.slots = app.slots;
-        seen.draining = draining;
-        seen.cold_left =
-            std::max(0ms, std::chrono::duration_cast<milliseconds>(app.cold_until - now_));
-        app.leaving = app.leaving || draining;
-        feed(*hosts_.at(i), seen);
-    }
+    void check_in(std::size_t i, bool draining = false) { check_in(*hosts_.at(i), draining); }
 
     /// The backend server says goodbye without draining.
     void say_goodbye(std::size_t i)
@@ -131,6 +123,13 @@
 
     /// A client beside node `i` sends a request.
     void send(std::size_t i, const std::string& id, milliseconds patience = 2000ms)
+    {
+        send_to(i, id, "/p/" + id, patience);
+    }
+
+    /// The same with a target that other requests may have too.
+    void send_to(std::size_t i, const std::string& id, const std::string& target,
+                 milliseconds patience = 2000ms)
     {
         auto& at = *hosts_.at(i);
         if (at.dead) {
@@ -140,7 +139,7 @@
         auto content = std::make_shared<request>();
         content->method = "GET";
         content->host = "h";
-        content->target = "/p/" + id;
+        content->target = target;
         content->id = id;
         at.clients[call] = {id, now_};
         feed(at, client_request{call, content, patience});
@@ -192,6 +191,12 @@
         check_in(i);
     }
 
+    /// When backend servers ended by a request, in order.
+    const std::vector<time_point>& ends() const { return ends_; }
+
+    /// The backend server ends of its own.
+    void end_app(std::size_t i) { end_app(*hosts_.at(i)); }
+
     /// Bytes that the node's machine sends in a millisecond, over all connections one after the
     /// other; 0: no bound.
     void set_link_speed(std::size_t i, std::size_t bytes_per_ms)
@@ -336,6 +341,23 @@
     /// Bytes of a frame beside rows and bodies.
     static constexpr std::size_t frame_overhead = 200;
 
+    void check_in(host& at_host, bool draining = false)
+    {
+        auto& app = at_host.app;
+        backend_checked_in seen;
+        seen.id = app.id;
+        seen.born = app.life;
+        seen.sequence = ++app.sequence;
+        seen.service = app.service;
+        seen.release = app.release;
+        seen.slots = app.slots;
+        seen.draining = draining;
+        seen.cold_left =
+            std::max(0ms, std::chrono::duration_cast<milliseconds>(app.cold_until - now_));
+        app.leaving = app.leaving || draining;
+        feed(at_host, seen);
+    }
+
     void add_node(std::size_t i, const std::string& zone)
     {
         mesh_settings settings;
@@ -407,6 +429,15 @@
             });
             return;
         }
+        if (!app.ends_by.empty() && order.content->target == app.ends_by) {
+            ++runs_[order.content->id];
+            last_runs_[order.content->id] = now_;
+            from.at_work.insert(order.run);
+            ends_.push_back(now_);
+            // It ends in its own time, not within the node's step.
+            at(0ms, [this, &from] { end_app(from); });
+            return;
+        }
         app.after_leaving += app.leaving ? 1 : 0;
         ++runs_[order.content->id];
         last_runs_[order.content->id] = now_;
@@ -418,6 +449,28 @@
         at(app.work * (slow ? app.slow_factor : 1),
            [this, &from, run = order.run] { finish_run(from, run); });
     }
+    void end_app(host& from)
+    {
+        auto& app = from.app;
+        if (app.crashed) {
+            return;
+        }
+        app.crashed = true;
+        app.running = 0;
+        const auto cut = std::exchange(from.at_work, {});
+        for (const auto run : cut) {
+            if (!app.ends_silently) {
+                feed(from, app_failed{run, app_failure::broken, false});
+            }
+        }
+        at(app.down, [this, &from] {
+            auto& again = from.app;
+            again.crashed = false;
+            again.id = backend_id{from.core.record().node + "-" + std::to_string(++again.life)};
+            again.sequence = 0;
+            check_in(from);
+        });
+    }
     void finish_run(host& from, run_id run)
     {
         if (from.at_work.erase(run) == 0) {
@@ -627,6 +680,7 @@
     std::map<std::string, time_point> last_runs_;
     std::map<std::string, client_result> results_;
     std::vector<rollout_status> statuses_;
+    std::vector<time_point> ends_;
     time_point now_{1h};
     std::uint64_t events_ = 0;
     std::uint64_t calls_ = 0;
