--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -104,7 +104,7 @@
             return;
         }
         try {
-            const auto answer = platform::read_rows(reply.body);
+            const auto answer = read_rows(reply);
             take_nodes(answer.rows);
             if (answer.truncated && answer.rows.size() > 1) {
                 // The last row comes again as the first of the next part.
@@ -116,6 +116,15 @@
     });
 }
 
+platform::store_rows store_follower::read_rows(const shell::store_reply& reply)
+{
+    auto out = platform::read_rows(reply.body);
+    for (const auto& row : out.unreadable) {
+        log(log_level::warning, "store.bad_row", {{"key", row.key}, {"reason", row.reason}});
+    }
+    return out;
+}
+
 void store_follower::take_nodes(const std::vector<platform::store_row>& rows)
 {
     mesh::nodes_listed listed;
@@ -138,19 +147,27 @@
                         return;
                     }
                     try {
-                        for (const auto& row : platform::read_rows(reply.body).rows) {
-                            if (const auto status =
-                                    platform::read_rollout_status(row.key, row.value)) {
-                                on_event_(mesh::rollout_status_read{*status, row.version});
-                            }
-                        }
-                    } catch (const std::runtime_error& error) {
-                        log(log_level::warning, "store.bad_row",
-                            {{"table", "status"}, {"reason", error.what()}});
+                        take_statuses(read_rows(reply).rows);
+                    } catch (const platform::bad_store_answer& error) {
+                        retry_later({0, "", error.what(), true}, &store_follower::read_status);
                     }
                 });
 }
 
+void store_follower::take_statuses(const std::vector<platform::store_row>& rows)
+{
+    for (const auto& row : rows) {
+        try {
+            if (const auto status = platform::read_rollout_status(row.key, row.value)) {
+                on_event_(mesh::rollout_status_read{*status, row.version});
+            }
+        } catch (const platform::bad_row& error) {
+            log(log_level::warning, "store.bad_row",
+                {{"table", "status"}, {"key", row.key}, {"reason", error.what()}});
+        }
+    }
+}
+
 void store_follower::retry_later(const shell::store_reply& reply, void (store_follower::*again)())
 {
     if (stopped_) {
@@ -243,7 +260,7 @@
         return;
     }
     try {
-        const auto answer = platform::read_rows(reply.body);
+        const auto answer = read_rows(reply);
         mesh::rows_read happened;
         bool has_order = false;
         for (const auto& row : answer.rows) {
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -50,7 +50,11 @@
     void list_nodes();
     /// Lists the nodes whose rows' keys are not less than `first`.
     void list_nodes_from(const std::string& first);
+    /// Logs the rows that cannot be read.
+    /// @throws platform::bad_store_answer
+    platform::store_rows read_rows(const shell::store_reply& reply);
     void take_nodes(const std::vector<platform::store_row>& rows);
+    void take_statuses(const std::vector<platform::store_row>& rows);
     void read_all();
     void read_status();
     void follow();
