Keep a request from backend servers after three ended under it

Cause: nothing on the platform's node knows that two requests are the same but for their ids, nor under which requests a backend server ended. An owner told the node that asked, and forgot. The own-interface protocol has a message for it that nothing sends.

With run.broken each of the broken runs can be told by its print.

Change: the owner remembers runs without an answer until the backend server answers another. When nothing listens at its address any more (after a broken connection it looks at once), or another life checks in, they are suspects: it tells all nodes, and tells whoever connects later. An answer clears a request for good of the ends so far; one that was answered within the last ten seconds is no suspect, so that popular requests beside a crashing one stay free. After three ends under the same request, or under the same content from several callers none of whom got an answer, every node refuses it at once, unsent, with 503 for ten minutes after the last end. One node writes what is in quarantine to the store, and one of each zone reads it after its start, or while parts of the mesh are out of reach and one end is missing.

Two cut-off parts of a mesh that hear nothing of each other may each lose three backend servers.

--- a/src/libmesh/crash_request_test.cpp
+++ b/src/libmesh/crash_request_test.cpp
@@ -119,6 +119,16 @@
 
     int others() const { return others_; }
 
+    /// Other requests that were taken for the crashing one.
+    std::int64_t innocents_refused()
+    {
+        std::int64_t crashing = 0;
+        for (int i = 1; i <= crashing_; ++i) {
+            crashing += net.results()["c" + std::to_string(i)].status == 503 ? 1 : 0;
+        }
+        return static_cast<std::int64_t>(net.refusals(quarantine_reason)) - crashing;
+    }
+
     test_net net;
 
 private:
@@ -131,7 +141,8 @@
     const char* name;
     play wanted;
     /// Strikes some seconds after the start.
-    std::function<void(test_net&)> trouble = [](test_net&) {};
+    std::function<void(test_net&)> trouble = [](test_net&) {
+    };
 };
 
 std::ostream& operator<<(std::ostream& out, const crash_case& item)
@@ -156,12 +167,14 @@
     {"beside a popular request", {.safe = true, .popular_each = 2, .work = 100ms}},
     {"backend servers that fall silent", {.silent = true}},
     {"backend servers that are away for long", {.down = 4000ms}},
-    {"the node that saw the first ends dies", {.pause = 700ms},
+    {"the node that saw the first ends dies",
+     {.pause = 700ms},
      [](test_net& net) {
          net.kill(1);
          net.after(2s, [&net] { net.start_again(1); });
      }},
-    {"a zone is cut off", {},
+    {"a zone is cut off",
+     {},
      [](test_net& net) {
          cut_zone(net, true);
          net.after(5s, [&net] { cut_zone(net, false); });
@@ -179,4 +192,93 @@
     BOOST_TEST(day.net.ends().size() >= 3U);
     BOOST_TEST(day.late_ends() <= most_late);
     day.check_refusals();
+    BOOST_TEST(day.innocents_refused() <= 0);
+}
+
+BOOST_AUTO_TEST_CASE(callers_of_others_are_served_once_the_request_is_kept_away)
+{
+    crash_play day({});
+    day.run_for(8s);
+    const auto first = day.others();
+    day.run_for(8s);
+    BOOST_TEST(day.served_since(first + 1) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_starts_later_keeps_the_request_away)
+{
+    crash_play day({});
+    day.net.after(1s, [&] { day.net.kill(nodes - 1); });
+    day.run_for(6s);
+    const auto before = day.net.ends().size();
+    day.net.start_again(nodes - 1);
+    day.net.run_for(contact);
+    day.run_for(6s);
+    BOOST_TEST(day.net.ends().size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_all_nodes_does_not_bring_the_request_back)
+{
+    crash_play day({});
+    day.run_for(6s);
+    const auto before = day.net.ends().size();
+    for (std::size_t i = 0; i < nodes; ++i) {
+        day.net.kill(i);
+    }
+    day.net.run_for(1s);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        day.net.start_again(i);
+    }
+    day.net.run_for(contact);
+    day.run_for(6s);
+    BOOST_TEST(day.net.ends().size() == before);
+}
+
+struct calm_case {
+    const char* name;
+    play wanted;
+    /// Between two ends of backend servers, all of them by turns.
+    duration between;
+    int at_once = 1;
+};
+
+std::ostream& operator<<(std::ostream& out, const calm_case& item)
+{
+    return out << item.name;
+}
+
+const std::vector<calm_case> calm_cases{
+    {"one after the other", {.safe = true, .popular_each = 3, .work = 100ms}, 1s},
+    {"in quick succession", {.safe = true, .popular_each = 3, .work = 100ms}, 300ms},
+    {"half at once, a popular request on all",
+     {.safe = true, .others = 120, .popular_each = 1, .work = 100ms},
+     2s,
+     nodes / 2},
+    {"all at once", {.safe = true, .others = 120, .popular_each = 1, .work = 100ms}, 3s, nodes},
+    {"unsafe", {.popular_each = 2, .work = 100ms}, 500ms},
+    {"silently", {.safe = true, .popular_each = 3, .work = 100ms, .silent = true}, 1s},
+};
+
+void end_by_turns(test_net& net, const calm_case& item)
+{
+    for (int round = 1; item.between * round < item.wanted.span; ++round) {
+        net.after(item.between * round, [&net, at_once = item.at_once, round] {
+            for (int i = 0; i < at_once; ++i) {
+                net.end_app(static_cast<std::size_t>(round * at_once + i) % nodes);
+            }
+        });
+    }
+}
+
+BOOST_DATA_TEST_CASE(backend_servers_that_end_of_their_own_bring_no_request_into_quarantine,
+                     boost::unit_test::data::make(calm_cases), item)
+{
+    auto wanted = item.wanted;
+    wanted.pause = 1h;
+    crash_play day(wanted);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        day.net.app(i).ends_by.clear();
+    }
+    end_by_turns(day.net, item);
+    day.run();
+    BOOST_TEST(day.net.refusals(quarantine_reason) == 0U);
 }
--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -84,6 +84,9 @@
     garbled,
 };
 
+/// Nothing listens at the backend server's address: its process has ended.
+struct app_gone {};
+
 struct app_failed {
     run_id run;
     app_failure kind{};
@@ -169,6 +172,17 @@
     bool fresh = false;
 };
 
+/// What the store held of requests in quarantine.
+struct crashes_read {
+    mesh_wire::crash_report report;
+    /// The store answered.
+    bool done = false;
+};
+
+struct crashes_written {
+    bool done = false;
+};
+
 struct time_passed {};
 
 /// SIGTERM.
@@ -180,10 +194,10 @@
 };
 
 using event =
-    std::variant<client_request, client_gone, app_answered, app_failed, backend_checked_in,
-                 backend_left, link_opened, link_closed, frame_arrived, config_read, order_read,
-                 rollout_status_read, rollout_status_written, nodes_listed, rows_read, time_passed,
-                 stop_asked, bounds_changed>;
+    std::variant<client_request, client_gone, app_answered, app_gone, app_failed,
+                 backend_checked_in, backend_left, link_opened, link_closed, frame_arrived,
+                 config_read, order_read, rollout_status_read, rollout_status_written, nodes_listed,
+                 rows_read, crashes_read, crashes_written, time_passed, stop_asked, bounds_changed>;
 
 // Effects.
 
@@ -248,6 +262,14 @@
     std::int64_t expected_version = 0;
 };
 
+/// Reads from the store which requests are in quarantine.
+struct read_crashes {};
+
+/// Writes them there, in a row of the node's own.
+struct write_crashes {
+    mesh_wire::crash_report report;
+};
+
 /// One input or outcome of a decision; names are stable.
 struct log_field {
     std::string name;
@@ -267,9 +289,9 @@
 /// The last request is done after a SIGTERM: the process may end.
 struct may_stop {};
 
-using effect =
-    std::variant<deliver_answer, deliver_refusal, send_to_app, drop_run, dial_peer, send_to_peer,
-                 close_link, follow_store, take_rows, write_rollout_status, log_line, may_stop>;
+using effect = std::variant<deliver_answer, deliver_refusal, send_to_app, drop_run, dial_peer,
+                            send_to_peer, close_link, follow_store, take_rows, write_rollout_status,
+                            read_crashes, write_crashes, log_line, may_stop>;
 using effect_list = std::vector<effect>;
 
 } // namespace camphor::mesh
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -157,6 +157,8 @@
     pull_if_behind();
     answer_pullers();
     judge_rollouts();
+    review_quarantine();
+    sync_crashes_with_store();
     if (now_ >= next_report_) {
         next_report_ = now_ + settings_.bounds.heartbeat_interval;
         broadcast_state(reports_ % reports_to_own_zone == 0 ? audience::all : audience::own_zone);
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -1,6 +1,7 @@
 // The decisions of one node of a mesh: one reducer over all events, with effects as data.
 #pragma once
 
+#include "libmesh/crash_suspects.h"
 #include "libmesh/directory.h"
 #include "libmesh/mesh_config.h"
 #include "libmesh/mesh_settings.h"
@@ -32,6 +33,8 @@
     std::uint64_t runs = 0;
     std::uint64_t owner_refusals = 0;
     std::uint64_t membership_changes = 0;
+    /// Ends of the backend server beside this node while it ran requests.
+    std::uint64_t backend_ends = 0;
     /// Times that the store did not answer this node's reads in time.
     std::uint64_t late_reads = 0;
     /// Requests that ended without a backend server's answer.
@@ -68,6 +71,8 @@
     /// Time since the configuration was applied; zero before the first.
     duration config_age() const { return config_ ? now_ - config_at_ : duration{}; }
     const std::optional<backend>& own_backend() const { return own_; }
+    /// Requests that are kept from backend servers.
+    std::size_t quarantined() const { return quarantined_.size(); }
     /// This node, as it introduces itself.
     const mesh_wire::node_record& record() const { return record_; }
 
@@ -127,6 +132,8 @@
         run_origin origin;
         request_ptr content;
         backend_id backend;
+        /// Start of the backend server that it was sent to.
+        std::int64_t born = 0;
         route_id way;
         request_print print;
         time_point deadline;
@@ -143,6 +150,19 @@
         duration wait{};
     };
 
+    /// A run that got no answer. The backend server may have ended under it.
+    struct cut_run {
+        std::string request;
+        request_print print;
+        backend_life life;
+        time_point at;
+    };
+
+    struct life_end {
+        backend_life life;
+        time_point at;
+    };
+
     struct link_state {
         std::optional<node_id> peer;
         bool dialled = false;
@@ -152,6 +172,7 @@
     void take(const client_request& happened);
     void take(const client_gone& happened);
     void take(const app_answered& happened);
+    void take(const app_gone& happened);
     void take(const app_failed& happened);
     void take(const backend_checked_in& happened);
     void take(const backend_left& happened);
@@ -164,6 +185,8 @@
     void take(const rollout_status_written& happened);
     void take(const nodes_listed& happened);
     void take(const rows_read& happened);
+    void take(const crashes_read& happened);
+    void take(const crashes_written& happened);
     void take(const time_passed& happened);
     void take(const stop_asked& happened);
     void take(const bounds_changed& happened);
@@ -225,6 +248,22 @@
     mesh_wire::run_answer answer_frame(const run_origin& origin, const run_result& result,
                                        const route_id& way) const;
 
+    // node_crashes.cpp: requests under which backend servers end.
+    void note_cut(const run_state& run);
+    /// The backend server answered `run`, so that it has not ended.
+    void note_answer(const run_state& run, bool served);
+    /// The life is over: the runs that it left without an answer are suspects.
+    void note_end(const backend_life& life, const std::string& reason);
+    void on_crashes(link_id link, const mesh_wire::crash_report& report);
+    /// Time until the call may be sent; none when nothing keeps it.
+    std::optional<duration> quarantine_left(const request_print& print) const;
+    void spread_crashes(mesh_wire::crash_report report);
+    /// Logs which requests came into quarantine and which left it.
+    void review_quarantine();
+    /// Keeps what outlasts all nodes in the store, and reads it once after the start.
+    void sync_crashes_with_store();
+    bool wants_crashes() const;
+
     // node_peers.cpp: connections to other nodes and what they tell.
     void dial_missing();
     void send_frame(link_id link, mesh_wire::mesh_frame frame);
@@ -307,6 +346,18 @@
     /// Backend servers that said goodbye to this life of the node, and when. A check-in that was
     /// delayed must not bring one back.
     std::map<backend_id, time_point> left_;
+    /// Runs without an answer; the backend server has answered no other since.
+    std::vector<cut_run> cut_runs_;
+    /// Life of the backend server that ended last, as far as this node knows.
+    std::optional<life_end> ended_life_;
+    crash_suspects suspects_;
+    std::set<request_print> quarantined_;
+    /// What the store holds of it by this node's hand.
+    std::set<request_print> quarantine_written_;
+    bool crash_write_pending_ = false;
+    bool crashes_known_ = false;
+    bool crash_read_pending_ = false;
+    time_point next_crash_sync_{};
     slot_queue queue_;
     std::map<run_id, run_state> runs_;
     std::uint64_t last_run_ = 0;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -62,7 +62,8 @@
 {
     ++counters_.requests;
     const auto& content = *happened.content;
-    const auto refuse_early = [&](std::int32_t status, const std::string& reason) {
+    const auto refuse_early = [&](std::int32_t status, const std::string& reason,
+                                  duration wait = early_refusal_wait) {
         ++counters_.refusals_by_reason[reason];
         log(log_level::warning, "request.refused", content.id,
             {{"reason", reason},
@@ -72,7 +73,7 @@
              {"config_version", std::to_string(config_ ? config_->version().value() : 0)}});
         std::optional<milliseconds> retry_after;
         if (status == 503) {
-            retry_after = early_refusal_wait;
+            retry_after = std::chrono::duration_cast<milliseconds>(wait);
         }
         out_.emplace_back(deliver_refusal{happened.call, status, reason, retry_after});
     };
@@ -89,10 +90,15 @@
         refuse_early(404, "no_route");
         return;
     }
+    const auto print = print_of(content, settings_.service);
+    if (const auto left = quarantine_left(print)) {
+        refuse_early(503, quarantine_reason, *left);
+        return;
+    }
     call_state call;
     call.call = happened.call;
     call.content = happened.content;
-    call.print = print_of(content, settings_.service);
+    call.print = print;
     call.config = config_;
     call.way = way;
     call.arrived = now_;
@@ -243,6 +249,11 @@
 
 void node::place(call_state& call)
 {
+    // Others may have ended under it since it came.
+    if (quarantine_left(call.print)) {
+        give_up(call, quarantine_reason);
+        return;
+    }
     auto all = candidates(call);
     if (all.empty()) {
         // Only one release of a service in a roll-out may have backend servers left.
@@ -422,6 +433,10 @@
     }
     call.refused_by[tried.owner] = result.wait;
     call.last_reason = result.reason;
+    if (result.reason == quarantine_reason) {
+        give_up(call, quarantine_reason);
+        return;
+    }
     if (tried.may_wait || result.reason != "overload") {
         call.full.insert(tried.owner);
     }
@@ -501,6 +516,9 @@
 
 void node::hedge(call_state& call)
 {
+    if (quarantine_left(call.print)) {
+        return;
+    }
     auto free = candidates(call);
     std::erase_if(free, [&](const candidate& item) {
         return item.node == call.attempts.front().owner || item.failing >= worst_hedge ||
@@ -564,7 +582,7 @@
     const bool may_return = wait <= left / return_part;
     const auto spread = duration(static_cast<duration::rep>(
         static_cast<double>((left / return_part - wait).count()) * random_part()));
-    const auto after = may_return ? wait + spread : left;
+    const auto after = quarantine_left(call.print).value_or(may_return ? wait + spread : left);
     log(log_level::warning, "request.refused", call.content->id,
         {{"reason", reason},
          {"last", call.last_reason},
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -71,8 +71,14 @@
         finish_run(id, {mesh_wire::run_outcome::refused, nullptr, "deadline", {}}, false);
         return;
     }
+    if (quarantine_left(run.print)) {
+        ++counters_.owner_refusals;
+        finish_run(id, {mesh_wire::run_outcome::refused, nullptr, quarantine_reason, {}}, false);
+        return;
+    }
     run.sent = true;
     run.sent_at = now_;
+    run.born = own_->born;
     ++counters_.runs;
     send_to_app order;
     order.run = id;
@@ -157,6 +163,7 @@
     const bool failed = status >= 500 || happened.not_executed;
     note_outcome(failed);
     note_release(found->second, !failed);
+    note_answer(found->second, !failed);
     if (happened.other_instance) {
         retire_backend(backend_state::unreachable, "another instance has its address");
     }
@@ -197,9 +204,21 @@
     note_release(found->second, false);
     const auto* reason = happened.kind == app_failure::garbled ? "garbled" : "broken";
     log_broken(found->second, reason);
+    if (happened.kind == app_failure::broken) {
+        note_cut(found->second);
+    }
     finish_run(happened.run, {mesh_wire::run_outcome::failed, nullptr, reason, {}}, false);
 }
 
+void node::take(const app_gone&)
+{
+    if (!own_ || own_->state == backend_state::draining || own_->state == backend_state::gone) {
+        return;
+    }
+    retire_backend(backend_state::unreachable, "nothing listens at its address");
+    note_end({own_->id, own_->born}, "nothing listens at its address");
+}
+
 void node::log_broken(const run_state& run, const std::string& reason)
 {
     log(log_level::info, "run.broken", run.content->id,
@@ -248,6 +267,8 @@
         if (now_ - run.sent_at > queue_.hold(run.way, queue_.mean_hold())) {
             note_release(run, true);
         }
+        // A backend server that ends without closing its connections is known by such runs only.
+        note_cut(run);
     }
     queue_.finish(found->first, false, now_);
     runs_.erase(found);
@@ -280,6 +301,9 @@
     }
     const bool other = !own_ || own_->id != happened.id || own_->born != happened.born;
     own_sequence_ = happened.sequence;
+    if (other && own_) {
+        note_end({own_->id, own_->born}, "another one is there");
+    }
     backend seen;
     seen.id = happened.id;
     seen.born = happened.born;
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -151,6 +151,11 @@
         frame.__set_share(share);
         send_frame(happened.link, std::move(frame));
     }
+    if (!suspects_.empty()) {
+        mesh_wire::mesh_frame frame;
+        frame.__set_crashes(suspects_.report(now_));
+        send_frame(happened.link, std::move(frame));
+    }
 }
 
 void node::take(const link_closed& happened)
@@ -300,6 +305,9 @@
     if (frame.__isset.share) {
         on_share(happened.link, frame.share);
     }
+    if (frame.__isset.crashes) {
+        on_crashes(happened.link, frame.crashes);
+    }
     if (frame.__isset.report) {
         const auto* from = known->second.peer ? peers_.find(*known->second.peer) : nullptr;
         rollouts_.on_evidence(frame.report, zone_id{from == nullptr ? "" : from->record.zone});
--- a/src/libmesh/request_print.cpp
+++ b/src/libmesh/request_print.cpp
@@ -22,8 +22,8 @@
 {
     constexpr int hexadecimal = 16;
     std::array<char, sizeof(print.content) * 2> digits{};
-    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                            print.content, hexadecimal);
+    const auto [end, error] =
+        std::to_chars(digits.data(), digits.data() + digits.size(), print.content, hexadecimal);
     return std::string(digits.data(), end) + "/" + print.caller.value();
 }
 
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -194,6 +194,18 @@
     /// When backend servers ended by a request, in order.
     const std::vector<time_point>& ends() const { return ends_; }
 
+    /// Requests that the nodes' processes refused for this reason.
+    std::uint64_t refusals(const std::string& reason) const
+    {
+        std::uint64_t out = 0;
+        for (const auto& item : hosts_) {
+            const auto& all = item->core.counters().refusals_by_reason;
+            const auto found = all.find(reason);
+            out += found == all.end() ? 0 : found->second;
+        }
+        return out;
+    }
+
     /// The backend server ends of its own.
     void end_app(std::size_t i) { end_app(*hosts_.at(i)); }
 
@@ -336,6 +348,8 @@
     static constexpr duration link_delay = 1ms;
     static constexpr duration tick = 25ms;
     static constexpr duration store_delay = 4ms;
+    /// After a connection broke, the shell looks whether something listens.
+    static constexpr duration probe_delay = 50ms;
     /// Between the word that a process may end and its end.
     static constexpr duration goodbye = 500ms;
     /// Bytes of a frame beside rows and bodies.
@@ -425,6 +439,7 @@
         auto& app = from.app;
         if (app.crashed) {
             at(0ms, [this, &from, run = order.run] {
+                feed(from, app_gone{});
                 feed(from, app_failed{run, app_failure::unsent, true});
             });
             return;
@@ -463,6 +478,13 @@
                 feed(from, app_failed{run, app_failure::broken, false});
             }
         }
+        if (!app.ends_silently) {
+            at(probe_delay, [this, &from] {
+                if (from.app.crashed) {
+                    feed(from, app_gone{});
+                }
+            });
+        }
         at(app.down, [this, &from] {
             auto& again = from.app;
             again.crashed = false;
@@ -584,6 +606,28 @@
         }
     }
 
+    void perform(host& from, const read_crashes&)
+    {
+        at(store_delay, [this, &from] {
+            crashes_read happened{{}, !from.is_turned_away};
+            for (const auto& [writer, report] : crash_rows_) {
+                happened.report.ends.insert(happened.report.ends.end(), report.ends.begin(),
+                                            report.ends.end());
+            }
+            feed(from, happened);
+        });
+    }
+
+    void perform(host& from, const write_crashes& order)
+    {
+        at(store_delay, [this, &from, report = order.report] {
+            if (!from.is_turned_away) {
+                crash_rows_[from.settings.node.value()] = report;
+            }
+            feed(from, crashes_written{!from.is_turned_away});
+        });
+    }
+
     void start_reading(host& from)
     {
         from.reads = true;
@@ -679,6 +723,8 @@
     std::map<std::string, int> runs_;
     std::map<std::string, time_point> last_runs_;
     std::map<std::string, client_result> results_;
+    /// What nodes wrote of requests in quarantine, by writer.
+    std::map<std::string, mesh_wire::crash_report> crash_rows_;
     std::vector<rollout_status> statuses_;
     std::vector<time_point> ends_;
     time_point now_{1h};
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -31,6 +31,8 @@
 
 /// On one machine a connection opens at once or not at all.
 constexpr auto connect_timeout = 1s;
+/// A process that ends closes its connections one after the other, its listening one among them.
+constexpr auto probe_delay = 50ms;
 /// Part of the announced idle time for which a connection is used again, in percent.
 constexpr int used_idle_percent = 80;
 /// Idle time of a connection that announced none.
@@ -91,13 +93,18 @@
     class connection;
 
     implementation(asio::io_context& context, mesh::listen_address target, event_function handler)
-        : io(context), address(std::move(target)), on_event(std::move(handler))
+        : io(context), address(std::move(target)), on_event(std::move(handler)),
+          probe_timer(context)
     {
     }
 
     void send(const mesh::send_to_app& order);
     std::shared_ptr<connection> take_idle(bool fresh);
     std::size_t bytes_held() const;
+    /// A connection broke: finds out whether the backend server has ended, and keeps the connection
+    /// made for that when it has not.
+    void probe_soon();
+    void probe();
     /// Gives the longest answer up when all that are not whole yet hold too much.
     void bound_held_bytes();
 
@@ -108,6 +115,8 @@
     std::map<mesh::run_id, std::shared_ptr<connection>> busy;
     /// Newest last.
     std::vector<std::shared_ptr<connection>> idle;
+    asio::steady_timer probe_timer;
+    bool probe_pending = false;
     bool closed = false;
 };
 
@@ -120,6 +129,8 @@
     }
 
     void connect_and_run(const mesh::send_to_app& order);
+    /// Connects and becomes idle.
+    void connect_and_wait();
     void run(const mesh::send_to_app& order);
     void close()
     {
@@ -145,6 +156,7 @@
 private:
     using parser = http::response_parser<http::string_body>;
 
+    void connect(std::function<void(error_code)> done);
     void write();
     void read();
     void read_part();
@@ -171,29 +183,58 @@
     std::uint64_t uses_ = 0;
 };
 
-void app_client::implementation::connection::connect_and_run(const mesh::send_to_app& order)
+void app_client::implementation::connection::connect(std::function<void(error_code)> done)
 {
-    order_ = order;
     timer_.expires_after(connect_timeout);
-    timer_.async_wait([weak = weak_from_this()](error_code error) {
+    timer_.async_wait([weak = weak_from_this(), done](error_code error) {
         if (const auto self = weak.lock(); self && !error && !self->closed_) {
-            self->fail(mesh::app_failure::unsent, true);
+            done(asio::error::timed_out);
         }
     });
     const tcp::endpoint target(asio::ip::make_address(owner_->address.host), owner_->address.port);
     ++owner_->counters.connections;
-    socket_.async_connect(target, [self = shared_from_this()](error_code error) {
+    socket_.async_connect(target, [self = shared_from_this(), done](error_code error) {
         if (self->closed_) {
             return;
         }
         self->timer_.cancel();
         if (error) {
             ++self->owner_->counters.failed_connections;
-            self->fail(mesh::app_failure::unsent, true);
+        } else {
+            shell::set_tcp_options(self->socket_);
+        }
+        done(error);
+    });
+}
+
+void app_client::implementation::connection::connect_and_run(const mesh::send_to_app& order)
+{
+    order_ = order;
+    connect([self = shared_from_this()](error_code error) {
+        if (!error) {
+            self->write();
+            return;
+        }
+        if (error == asio::error::connection_refused) {
+            self->owner_->on_event(mesh::app_gone{});
+        }
+        self->fail(mesh::app_failure::unsent, true);
+    });
+}
+
+void app_client::implementation::connection::connect_and_wait()
+{
+    connect([self = shared_from_this()](error_code error) {
+        self->owner_->probe_pending = false;
+        if (!error) {
+            self->usable_until_ = steady_clock::now() + default_idle;
+            self->become_idle();
             return;
         }
-        shell::set_tcp_options(self->socket_);
-        self->write();
+        self->close();
+        if (error == asio::error::connection_refused) {
+            self->owner_->on_event(mesh::app_gone{});
+        }
     });
 }
 
@@ -389,6 +430,33 @@
     owner_->busy.erase(order_.run);
     close();
     owner_->on_event(mesh::app_failed{order_.run, kind, refused_connection});
+    if (kind == mesh::app_failure::broken) {
+        owner_->probe_soon();
+    }
+}
+
+void app_client::implementation::probe_soon()
+{
+    if (probe_pending || closed) {
+        return;
+    }
+    probe_pending = true;
+    probe_timer.expires_after(probe_delay);
+    probe_timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && !self->closed) {
+            self->probe();
+        }
+    });
+}
+
+void app_client::implementation::probe()
+{
+    // A kept connection that is open shows that the backend server lives.
+    if (!idle.empty()) {
+        probe_pending = false;
+        return;
+    }
+    std::make_shared<connection>(shared_from_this())->connect_and_wait();
 }
 
 std::shared_ptr<app_client::implementation::connection>
@@ -453,6 +521,7 @@
 app_client::~app_client()
 {
     self_->closed = true;
+    self_->probe_timer.cancel();
     for (const auto& item : self_->idle) {
         item->close();
     }
--- a/src/libsidecar/node_metrics.cpp
+++ b/src/libsidecar/node_metrics.cpp
@@ -51,6 +51,8 @@
     line("camphor_runs_total", static_cast<double>(counts.runs));
     line("camphor_owner_refusals_total", static_cast<double>(counts.owner_refusals));
     line("camphor_membership_changes_total", static_cast<double>(counts.membership_changes));
+    line("camphor_backend_ends_total", static_cast<double>(counts.backend_ends));
+    line("camphor_requests_quarantined", static_cast<double>(node.quarantined()));
     line("camphor_store_late_reads_total", static_cast<double>(counts.late_reads));
     for (const auto& [reason, count] : counts.refusals_by_reason) {
         out += shell::metric_line("camphor_not_served_total{reason=\"" + reason + "\"}",
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -66,6 +66,8 @@
     void carry_out(const mesh::follow_store& order) { store_.set_following(order.follow); }
     void carry_out(const mesh::take_rows& order) { store_.take(order); }
     void carry_out(const mesh::write_rollout_status& order) { store_.write(order); }
+    void carry_out(const mesh::read_crashes&) { store_.read_crashes(); }
+    void carry_out(const mesh::write_crashes& order) { store_.write(order); }
     void carry_out(const mesh::log_line& line) { write_log(line); }
     void carry_out(const mesh::may_stop&) { stop(); }
 
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -353,4 +353,55 @@
     });
 }
 
+void store_follower::read_crashes()
+{
+    calls_.call(platform::read_table(platform::crash_table), call_limit,
+                [this](const shell::store_reply& reply) {
+                    mesh::crashes_read happened;
+                    if (reply.status == shell::store_ok) {
+                        happened.done = true;
+                        happened.report = take_crashes(reply);
+                    } else {
+                        log(log_level::info, "suspects.not_read",
+                            {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
+                    }
+                    on_event_(std::move(happened));
+                });
+}
+
+mesh_wire::crash_report store_follower::take_crashes(const shell::store_reply& reply)
+{
+    mesh_wire::crash_report out;
+    try {
+        for (const auto& row : read_rows(reply).rows) {
+            try {
+                const auto part =
+                    platform::read_crash_row(row.value, std::chrono::system_clock::now());
+                out.ends.insert(out.ends.end(), part.ends.begin(), part.ends.end());
+            } catch (const platform::bad_row& error) {
+                log(log_level::warning, "store.bad_row",
+                    {{"table", platform::crash_table}, {"key", row.key}, {"reason", error.what()}});
+            }
+        }
+    } catch (const platform::bad_store_answer& error) {
+        log(log_level::warning, "store.bad_row",
+            {{"table", platform::crash_table}, {"reason", error.what()}});
+    }
+    return out;
+}
+
+void store_follower::write(const mesh::write_crashes& order)
+{
+    const auto row = platform::write_row(
+        platform::crash_table, self_.node,
+        platform::write_crash_row(order.report, std::chrono::system_clock::now()));
+    calls_.call(row, call_limit, [this](const shell::store_reply& reply) {
+        if (reply.status != shell::store_ok) {
+            log(log_level::warning, "suspects.not_written",
+                {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
+        }
+        on_event_(mesh::crashes_written{reply.status == shell::store_ok});
+    });
+}
+
 } // namespace camphor::sidecar
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -37,6 +37,9 @@
     /// Decodes rows that another node read.
     void take(const mesh::take_rows& order);
     void write(const mesh::write_rollout_status& order);
+    /// Reads which requests are in quarantine; crashes_read tells.
+    void read_crashes();
+    void write(const mesh::write_crashes& order);
 
     shell::store_counters counters() const;
     /// Time since the store last answered a read of the operators' rows (since the start before the
@@ -53,6 +56,7 @@
     /// Logs the rows that cannot be read.
     /// @throws platform::bad_store_answer
     platform::store_rows read_rows(const shell::store_reply& reply);
+    mesh_wire::crash_report take_crashes(const shell::store_reply& reply);
     void take_nodes(const std::vector<platform::store_row>& rows);
     void take_statuses(const std::vector<platform::store_row>& rows);
     void read_all();
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -2969,6 +2969,338 @@
 }
 
 
+backend_end::~backend_end() noexcept {
+}
+
+
+void backend_end::__set_content_print(const int64_t val) {
+  this->content_print = val;
+}
+
+void backend_end::__set_caller_service(const std::string& val) {
+  this->caller_service = val;
+}
+
+void backend_end::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void backend_end::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void backend_end::__set_cleared(const bool val) {
+  this->cleared = val;
+}
+
+void backend_end::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const backend_end& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t backend_end::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content_print);
+          this->__isset.content_print = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->caller_service);
+          this->__isset.caller_service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cleared);
+          this->__isset.cleared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t backend_end::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("backend_end");
+
+  xfer += oprot->writeFieldBegin("content_print", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->content_print);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("caller_service", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->caller_service);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->cleared);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(backend_end &a, backend_end &b) {
+  using ::std::swap;
+  swap(a.content_print, b.content_print);
+  swap(a.caller_service, b.caller_service);
+  swap(a.backend, b.backend);
+  swap(a.born, b.born);
+  swap(a.cleared, b.cleared);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+backend_end::backend_end(const backend_end& other87) {
+  content_print = other87.content_print;
+  caller_service = other87.caller_service;
+  backend = other87.backend;
+  born = other87.born;
+  cleared = other87.cleared;
+  age_ms = other87.age_ms;
+  __isset = other87.__isset;
+}
+backend_end::backend_end(backend_end&& other88) noexcept {
+  content_print = other88.content_print;
+  caller_service = std::move(other88.caller_service);
+  backend = std::move(other88.backend);
+  born = other88.born;
+  cleared = other88.cleared;
+  age_ms = other88.age_ms;
+  __isset = other88.__isset;
+}
+backend_end& backend_end::operator=(const backend_end& other89) {
+  content_print = other89.content_print;
+  caller_service = other89.caller_service;
+  backend = other89.backend;
+  born = other89.born;
+  cleared = other89.cleared;
+  age_ms = other89.age_ms;
+  __isset = other89.__isset;
+  return *this;
+}
+backend_end& backend_end::operator=(backend_end&& other90) noexcept {
+  content_print = other90.content_print;
+  caller_service = std::move(other90.caller_service);
+  backend = std::move(other90.backend);
+  born = other90.born;
+  cleared = other90.cleared;
+  age_ms = other90.age_ms;
+  __isset = other90.__isset;
+  return *this;
+}
+void backend_end::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "backend_end(";
+  out << "content_print=" << to_string(content_print);
+  out << ", " << "caller_service=" << to_string(caller_service);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "cleared=" << to_string(cleared);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+crash_report::~crash_report() noexcept {
+}
+
+
+void crash_report::__set_ends(const std::vector<backend_end> & val) {
+  this->ends = val;
+}
+std::ostream& operator<<(std::ostream& out, const crash_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t crash_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ends.clear();
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->ends.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
+            {
+              xfer += this->ends[_i95].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t crash_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("crash_report");
+
+  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
+    std::vector<backend_end> ::const_iterator _iter96;
+    for (_iter96 = this->ends.begin(); _iter96 != this->ends.end(); ++_iter96)
+    {
+      xfer += (*_iter96).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(crash_report &a, crash_report &b) {
+  using ::std::swap;
+  swap(a.ends, b.ends);
+  swap(a.__isset, b.__isset);
+}
+
+crash_report::crash_report(const crash_report& other97) {
+  ends = other97.ends;
+  __isset = other97.__isset;
+}
+crash_report::crash_report(crash_report&& other98) noexcept {
+  ends = std::move(other98.ends);
+  __isset = other98.__isset;
+}
+crash_report& crash_report::operator=(const crash_report& other99) {
+  ends = other99.ends;
+  __isset = other99.__isset;
+  return *this;
+}
+crash_report& crash_report::operator=(crash_report&& other100) noexcept {
+  ends = std::move(other100.ends);
+  __isset = other100.__isset;
+  return *this;
+}
+void crash_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "crash_report(";
+  out << "ends=" << to_string(ends);
+  out << ")";
+}
+
+
 mesh_frame::~mesh_frame() noexcept {
 }
 
@@ -3017,6 +3349,11 @@
   this->ping = val;
 __isset.ping = true;
 }
+
+void mesh_frame::__set_crashes(const crash_report& val) {
+  this->crashes = val;
+__isset.crashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const mesh_frame& obj)
 {
   obj.printTo(out);
@@ -3117,6 +3454,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crashes.read(iprot);
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3179,6 +3524,11 @@
     xfer += oprot->writeBool(this->ping);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.crashes) {
+    xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->crashes.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3195,57 +3545,62 @@
   swap(a.report, b.report);
   swap(a.share, b.share);
   swap(a.ping, b.ping);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-mesh_frame::mesh_frame(const mesh_frame& other87) {
-  state = other87.state;
-  run = other87.run;
-  answer = other87.answer;
-  cancel = other87.cancel;
-  rows = other87.rows;
-  pull = other87.pull;
-  report = other87.report;
-  share = other87.share;
-  ping = other87.ping;
-  __isset = other87.__isset;
-}
-mesh_frame::mesh_frame(mesh_frame&& other88) noexcept {
-  state = std::move(other88.state);
-  run = std::move(other88.run);
-  answer = std::move(other88.answer);
-  cancel = std::move(other88.cancel);
-  rows = std::move(other88.rows);
-  pull = std::move(other88.pull);
-  report = std::move(other88.report);
-  share = std::move(other88.share);
-  ping = other88.ping;
-  __isset = other88.__isset;
-}
-mesh_frame& mesh_frame::operator=(const mesh_frame& other89) {
-  state = other89.state;
-  run = other89.run;
-  answer = other89.answer;
-  cancel = other89.cancel;
-  rows = other89.rows;
-  pull = other89.pull;
-  report = other89.report;
-  share = other89.share;
-  ping = other89.ping;
-  __isset = other89.__isset;
+mesh_frame::mesh_frame(const mesh_frame& other101) {
+  state = other101.state;
+  run = other101.run;
+  answer = other101.answer;
+  cancel = other101.cancel;
+  rows = other101.rows;
+  pull = other101.pull;
+  report = other101.report;
+  share = other101.share;
+  ping = other101.ping;
+  crashes = other101.crashes;
+  __isset = other101.__isset;
+}
+mesh_frame::mesh_frame(mesh_frame&& other102) noexcept {
+  state = std::move(other102.state);
+  run = std::move(other102.run);
+  answer = std::move(other102.answer);
+  cancel = std::move(other102.cancel);
+  rows = std::move(other102.rows);
+  pull = std::move(other102.pull);
+  report = std::move(other102.report);
+  share = std::move(other102.share);
+  ping = other102.ping;
+  crashes = std::move(other102.crashes);
+  __isset = other102.__isset;
+}
+mesh_frame& mesh_frame::operator=(const mesh_frame& other103) {
+  state = other103.state;
+  run = other103.run;
+  answer = other103.answer;
+  cancel = other103.cancel;
+  rows = other103.rows;
+  pull = other103.pull;
+  report = other103.report;
+  share = other103.share;
+  ping = other103.ping;
+  crashes = other103.crashes;
+  __isset = other103.__isset;
   return *this;
 }
-mesh_frame& mesh_frame::operator=(mesh_frame&& other90) noexcept {
-  state = std::move(other90.state);
-  run = std::move(other90.run);
-  answer = std::move(other90.answer);
-  cancel = std::move(other90.cancel);
-  rows = std::move(other90.rows);
-  pull = std::move(other90.pull);
-  report = std::move(other90.report);
-  share = std::move(other90.share);
-  ping = other90.ping;
-  __isset = other90.__isset;
+mesh_frame& mesh_frame::operator=(mesh_frame&& other104) noexcept {
+  state = std::move(other104.state);
+  run = std::move(other104.run);
+  answer = std::move(other104.answer);
+  cancel = std::move(other104.cancel);
+  rows = std::move(other104.rows);
+  pull = std::move(other104.pull);
+  report = std::move(other104.report);
+  share = std::move(other104.share);
+  ping = other104.ping;
+  crashes = std::move(other104.crashes);
+  __isset = other104.__isset;
   return *this;
 }
 void mesh_frame::printTo(std::ostream& out) const {
@@ -3260,6 +3615,7 @@
   out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ", " << "share="; (__isset.share ? (out << to_string(share)) : (out << "<null>"));
   out << ", " << "ping="; (__isset.ping ? (out << to_string(ping)) : (out << "<null>"));
+  out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -64,6 +64,10 @@
 
 class rollout_share;
 
+class backend_end;
+
+class crash_report;
+
 class mesh_frame;
 
 typedef struct _owner_load__isset {
@@ -1136,8 +1140,132 @@
 
 std::ostream& operator<<(std::ostream& out, const rollout_share& obj);
 
+typedef struct _backend_end__isset {
+  _backend_end__isset() : content_print(false), caller_service(false), backend(false), born(false), cleared(false), age_ms(false) {}
+  bool content_print :1;
+  bool caller_service :1;
+  bool backend :1;
+  bool born :1;
+  bool cleared :1;
+  bool age_ms :1;
+} _backend_end__isset;
+
+class backend_end : public virtual ::apache::thrift::TBase {
+ public:
+
+  backend_end(const backend_end&);
+  backend_end(backend_end&&) noexcept;
+  backend_end& operator=(const backend_end&);
+  backend_end& operator=(backend_end&&) noexcept;
+  backend_end() noexcept
+              : content_print(0),
+                caller_service(),
+                backend(),
+                born(0),
+                cleared(0),
+                age_ms(0) {
+  }
+
+  virtual ~backend_end() noexcept;
+  int64_t content_print;
+  std::string caller_service;
+  std::string backend;
+  int64_t born;
+  bool cleared;
+  int64_t age_ms;
+
+  _backend_end__isset __isset;
+
+  void __set_content_print(const int64_t val);
+
+  void __set_caller_service(const std::string& val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_cleared(const bool val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const backend_end & rhs) const
+  {
+    if (!(content_print == rhs.content_print))
+      return false;
+    if (!(caller_service == rhs.caller_service))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const backend_end &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const backend_end & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(backend_end &a, backend_end &b);
+
+std::ostream& operator<<(std::ostream& out, const backend_end& obj);
+
+typedef struct _crash_report__isset {
+  _crash_report__isset() : ends(false) {}
+  bool ends :1;
+} _crash_report__isset;
+
+class crash_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  crash_report(const crash_report&);
+  crash_report(crash_report&&) noexcept;
+  crash_report& operator=(const crash_report&);
+  crash_report& operator=(crash_report&&) noexcept;
+  crash_report() noexcept {
+  }
+
+  virtual ~crash_report() noexcept;
+  std::vector<backend_end>  ends;
+
+  _crash_report__isset __isset;
+
+  void __set_ends(const std::vector<backend_end> & val);
+
+  bool operator == (const crash_report & rhs) const
+  {
+    if (!(ends == rhs.ends))
+      return false;
+    return true;
+  }
+  bool operator != (const crash_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const crash_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(crash_report &a, crash_report &b);
+
+std::ostream& operator<<(std::ostream& out, const crash_report& obj);
+
 typedef struct _mesh_frame__isset {
-  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false) {}
+  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false), crashes(false) {}
   bool state :1;
   bool run :1;
   bool answer :1;
@@ -1147,6 +1275,7 @@
   bool report :1;
   bool share :1;
   bool ping :1;
+  bool crashes :1;
 } _mesh_frame__isset;
 
 class mesh_frame : public virtual ::apache::thrift::TBase {
@@ -1170,6 +1299,7 @@
   evidence report;
   rollout_share share;
   bool ping;
+  crash_report crashes;
 
   _mesh_frame__isset __isset;
 
@@ -1191,6 +1321,8 @@
 
   void __set_ping(const bool val);
 
+  void __set_crashes(const crash_report& val);
+
   bool operator == (const mesh_frame & rhs) const
   {
     if (__isset.state != rhs.__isset.state)
@@ -1229,6 +1361,10 @@
       return false;
     else if (__isset.ping && !(ping == rhs.ping))
       return false;
+    if (__isset.crashes != rhs.__isset.crashes)
+      return false;
+    else if (__isset.crashes && !(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const mesh_frame &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -165,6 +165,22 @@
   8: i64 age_ms
 }
 
+// A backend server that ended while it ran a request.
+struct backend_end {
+  1: i64 content_print
+  2: string caller_service
+  3: string backend
+  // Start of the backend server's life.
+  4: i64 born
+  // The request was answered since, or the backend server had not ended.
+  5: bool cleared
+  6: i64 age_ms
+}
+
+struct crash_report {
+  1: list<backend_end> ends
+}
+
 struct mesh_frame {
   1: optional node_state state
   2: optional run_request run
@@ -175,4 +191,5 @@
   7: optional evidence report
   8: optional rollout_share share
   10: optional bool ping
+  11: optional crash_report crashes
 }
--- a/testsuite/sidecar/crash_request.py
+++ b/testsuite/sidecar/crash_request.py
@@ -266,6 +266,8 @@
                     node.kill()
                 for node in mesh.nodes:
                     node.start()
+                # The rule holds for machines that have run for so long.
+                time.sleep(CONTACT_S)
                 for node in mesh.nodes:
                     check_is_known(mesh, node, "a node after the end of all")
             finally:
