Take no answer without an id for another request's

Cause: an answer without an id counted for whatever request was under way on its connection. The same with a 503 or 429 without the mark, and for a request that was sent again on the connection that had refused it, where the repeated refusal bears the right id. A failure without the mark was passed on with a status that promises "not run". Class: an answer is taken by its place, not by what it proves.

Ruled out: an earlier id in the repeated refusal; such answers were skipped before.

Change: on a connection that carried a request before, an answer without an id ends the connection and the run counts as failed: it may have run. A request is not sent again on a connection that refused it. For requests that run at most once, 408, 421, 429 and 503 without the mark become 502.

--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -3,6 +3,7 @@
 #include "libmesh/node.h"
 
 #include <algorithm>
+#include <array>
 
 namespace camphor::mesh {
 
@@ -16,6 +17,14 @@
 /// Sent to the backend server less than this before the deadline a request cannot be served.
 constexpr auto least_time = 5ms;
 
+/// Statuses by which a client knows that its request has not run. Of a backend server's answers
+/// only those with a mark tell so.
+bool promises_not_run(std::int32_t status)
+{
+    constexpr std::array statuses{408, 421, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 } // namespace
 
 void node::offer_run(const run_origin& origin, const mesh_wire::run_request& wanted,
@@ -167,7 +176,12 @@
     if (happened.other_instance) {
         retire_backend(backend_state::unreachable, "another instance has its address");
     }
-    if (happened.not_executed || happened.other_instance) {
+    const bool is_proven = happened.not_executed || happened.other_instance;
+    if (!is_proven && !found->second.safe && promises_not_run(status)) {
+        // Passed on it would promise what the backend server did not say.
+        finish_run(happened.run, {mesh_wire::run_outcome::failed, nullptr, "unproven_refusal", {}},
+                   false);
+    } else if (is_proven) {
         finish_run(happened.run,
                    {mesh_wire::run_outcome::not_executed,
                     nullptr,
--- /dev/null
+++ b/src/libmesh/unproven_refusal_test.cpp
@@ -0,0 +1,33 @@
+// Answers of backend servers that would promise "not run" without proof.
+#define BOOST_TEST_MODULE unproven_refusal
+#include "libmesh/test_mesh_net.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace camphor;
+using namespace camphor::mesh;
+using namespace camphor::mesh::test;
+
+// A backend server runs the request and answers with the status, without a mark.
+BOOST_DATA_TEST_CASE(an_unsafe_request_that_ran_is_not_answered_as_not_run,
+                     boost::unit_test::data::make(std::vector<int>{408, 421, 429, 503}), status)
+{
+    constexpr std::size_t nodes = 3;
+    test_net net(nodes);
+    net.configure(false);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.app(i).status = status;
+        net.check_in(i);
+    }
+    for (std::size_t i = 0; i < nodes; ++i) {
+        const auto id = "u" + std::to_string(i);
+        net.send(i, id);
+        net.run_for(2s);
+        BOOST_TEST(net.results().at(id).status == 502);
+        BOOST_TEST(net.runs(id) == 1);
+    }
+}
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -14,6 +14,7 @@
 #include <charconv>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
 constexpr std::size_t long_answer_bytes = 16ULL * 1024;
 /// Interim answers (1xx) to one request.
 constexpr int most_interim_answers = 16;
+/// Refusals on a connection that are remembered; it is not kept for longer.
+constexpr std::size_t most_refused_ids = 64;
 /// Answers to other requests that are skipped in search of the own one.
 constexpr int most_stray_answers = 4;
 
@@ -99,7 +102,7 @@
     }
 
     void send(const mesh::send_to_app& order);
-    std::shared_ptr<connection> take_idle(bool fresh);
+    std::shared_ptr<connection> take_idle(const mesh::send_to_app& order);
     std::size_t bytes_held() const;
     /// A connection broke: finds out whether the backend server has ended, and keeps the connection
     /// made for that when it has not.
@@ -151,6 +154,7 @@
         return input_.size() + (parser_ ? parser_->get().body().size() : 0);
     }
     void fail(mesh::app_failure kind, bool refused_connection = false);
+    bool has_refused(const std::string& request) const { return refused_.contains(request); }
     bool is_fresh() const { return steady_clock::now() - idle_since_ < fresh_idle; }
 
 private:
@@ -181,6 +185,10 @@
     steady_clock::time_point idle_since_{};
     steady_clock::time_point usable_until_{};
     std::uint64_t uses_ = 0;
+    /// Requests that this connection carried, the current one among them.
+    std::uint64_t requests_ = 0;
+    /// Ids of those that were refused on it: their refusals may come once more.
+    std::set<std::string> refused_;
 };
 
 void app_client::implementation::connection::connect(std::function<void(error_code)> done)
@@ -261,6 +269,7 @@
     output_ += "\r\n";
     output_ += content.body;
     ++owner_->counters.requests;
+    ++requests_;
     answered_ = false;
     strays_ = 0;
     interim_answers_ = 0;
@@ -341,6 +350,12 @@
         return;
     }
     const auto id = value_of(message, header::request_id);
+    if (id.empty() && requests_ > 1) {
+        // It may answer an earlier request once more: nothing tells what became of this one.
+        ++owner_->counters.stray_answers;
+        fail(mesh::app_failure::garbled);
+        return;
+    }
     if (!id.empty() && id != order_.content->id) {
         // A late second answer to an earlier request: the own one follows it.
         ++owner_->counters.stray_answers;
@@ -382,7 +397,11 @@
         idle_for = std::chrono::milliseconds(1s) * seconds * used_idle_percent / 100;
     }
     usable_until_ = steady_clock::now() + idle_for;
-    const bool reusable = parser_->keep_alive() && input_.size() == 0;
+    if (happened.not_executed || happened.other_instance) {
+        refused_.insert(order_.content->id);
+    }
+    const bool reusable =
+        parser_->keep_alive() && input_.size() == 0 && refused_.size() < most_refused_ids;
     content->body = std::move(message.body());
     happened.content = std::move(content);
     const auto self = shared_from_this();
@@ -460,15 +479,17 @@
 }
 
 std::shared_ptr<app_client::implementation::connection>
-app_client::implementation::take_idle(bool fresh)
+app_client::implementation::take_idle(const mesh::send_to_app& order)
 {
     while (!idle.empty()) {
         auto item = idle.back();
-        if (fresh && item->is_clean() && !item->is_fresh()) {
+        const bool clean = item->is_clean();
+        if (clean &&
+            ((order.unsafe && !item->is_fresh()) || item->has_refused(order.content->id))) {
             return nullptr;
         }
         idle.pop_back();
-        if (item->is_clean()) {
+        if (clean) {
             return item;
         }
         item->close();
@@ -503,7 +524,7 @@
 
 void app_client::implementation::send(const mesh::send_to_app& order)
 {
-    if (const auto kept = take_idle(order.unsafe)) {
+    if (const auto kept = take_idle(order)) {
         busy.emplace(order.run, kept);
         kept->run(order);
         return;
