Play a cut-off zone and late ends against the quarantine

Cause: the cut of the first tests came after the quarantine was known, and every end came at once.

Change: seven more patterns: a zone cut off before the first end, between two ends, while the request comes slowly, and while the store turns everybody away; requests that run for 0.7 s before the end, which breaks or hangs the connections.

Conclusion: no change of logic needed.

--- a/src/libmesh/crash_request_test.cpp
+++ b/src/libmesh/crash_request_test.cpp
@@ -35,6 +35,7 @@
     milliseconds work{40};
     milliseconds down{800};
     bool silent = false;
+    milliseconds ends_after{0};
     duration span = 16s;
 };
 
@@ -49,6 +50,7 @@
             app.work = wanted.work;
             app.down = wanted.down;
             app.ends_silently = wanted.silent;
+            app.ends_after = wanted.ends_after;
             net.check_in(i);
         }
         net.run_for(500ms);
@@ -140,9 +142,10 @@
 struct crash_case {
     const char* name;
     play wanted;
-    /// Strikes some seconds after the start.
     std::function<void(test_net&)> trouble = [](test_net&) {
     };
+    /// When the trouble strikes.
+    duration at = 3s;
 };
 
 std::ostream& operator<<(std::ostream& out, const crash_case& item)
@@ -158,6 +161,12 @@
     }
 }
 
+void cut_zone_for_a_while(test_net& net)
+{
+    cut_zone(net, true);
+    net.after(8s, [&net] { cut_zone(net, false); });
+}
+
 const std::vector<crash_case> crash_cases{
     {"unsafe, by turns at all nodes", {}},
     {"safe: nodes send it once more themselves", {.safe = true}},
@@ -173,12 +182,21 @@
          net.kill(1);
          net.after(2s, [&net] { net.start_again(1); });
      }},
-    {"a zone is cut off",
-     {},
+    {"it runs for a while before", {.ends_after = 700ms}},
+    {"it runs for a while before, silently", {.silent = true, .ends_after = 700ms}},
+    {"a zone is cut off once it is known", {}, cut_zone_for_a_while},
+    {"a zone is cut off before the first end", {}, cut_zone_for_a_while, 0s},
+    {"a zone is cut off between two ends", {.pause = 600ms}, cut_zone_for_a_while, 800ms},
+    {"a zone is cut off, and it comes slowly", {.pause = 1100ms}, cut_zone_for_a_while, 0s},
+    {"a zone is cut off, and the store is away",
+     {.pause = 600ms},
      [](test_net& net) {
-         cut_zone(net, true);
-         net.after(5s, [&net] { cut_zone(net, false); });
-     }},
+         cut_zone_for_a_while(net);
+         for (std::size_t i = 0; i < nodes; ++i) {
+             net.turn_away(i, true);
+         }
+     },
+     0s},
 };
 
 } // namespace
@@ -187,7 +205,7 @@
                      boost::unit_test::data::make(crash_cases), item)
 {
     crash_play day(item.wanted);
-    day.net.after(3s, [&] { item.trouble(day.net); });
+    day.net.after(item.at, [&] { item.trouble(day.net); });
     day.run();
     BOOST_TEST(day.net.ends().size() >= 3U);
     BOOST_TEST(day.late_ends() <= most_late);
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -47,6 +47,8 @@
     /// A request with this target ends it; it is back as a new instance after `down`. Empty: none.
     std::string ends_by;
     duration down = 800ms;
+    /// Time that such a request runs before.
+    duration ends_after{};
     /// Connections hang when it ends, instead of breaking.
     bool ends_silently = false;
     /// Starts so far.
@@ -450,7 +452,11 @@
             from.at_work.insert(order.run);
             ends_.push_back(now_);
             // It ends in its own time, not within the node's step.
-            at(0ms, [this, &from] { end_app(from); });
+            at(app.ends_after, [this, &from, life = app.life] {
+                if (from.app.life == life) {
+                    end_app(from);
+                }
+            });
             return;
         }
         app.after_leaving += app.leaving ? 1 : 0;
