Bound what the store's client reads, and take no second answer for the next one

Class: bytes from outside without a bound; an answer taken by its place.

Change: the head is read first (16 KB), an interim answer or an announced length beyond 16 MB ends the call, the input has 128 KB; a connection is not kept with bytes behind an answer, and not used again when some wait.

Tests: answers_without_end_are_cut_off and an_answer_that_comes_twice_is_not_taken_for_the_next_one.

--- a/src/libshell/store_client.cpp
+++ b/src/libshell/store_client.cpp
@@ -24,6 +24,10 @@
 
 /// The largest answers are objects, of 8 MiB at most on the platforms known; twice that.
 constexpr std::size_t answer_limit_bytes = 16ULL * 1024 * 1024;
+/// Heads of the store's answers are a few hundred bytes.
+constexpr std::size_t head_limit_bytes = 16ULL * 1024;
+/// Bytes that wait to be parsed: a head and one read of the body.
+constexpr std::size_t input_limit_bytes = 128ULL * 1024;
 /// Calls that may wait for a connection; more than a burst of all modules of a node.
 constexpr std::size_t queue_limit = 1'024;
 /// A connection that takes longer is given up: the store is near, and calls have limits of their
@@ -130,7 +134,7 @@
         ++turn_;
         started_ = clock::now();
         const auto owner = owner_.lock();
-        if (connected_ && !(connected_to_ == owner->address)) {
+        if (connected_ && (!(connected_to_ == owner->address) || has_stray_bytes())) {
             close();
         }
         reused_ = connected_;
@@ -141,6 +145,13 @@
         }
     }
 
+    /// Something came that no call asked for.
+    bool has_stray_bytes()
+    {
+        error_code error;
+        return socket_.available(error) > 0 || error;
+    }
+
     /// Ends the call at `late`, unless it moves on before.
     void arm(clock::time_point late)
     {
@@ -207,21 +218,49 @@
     void read()
     {
         parser_.emplace();
+        parser_->header_limit(head_limit_bytes);
         parser_->body_limit(answer_limit_bytes);
+        // The body's room is made by the announced length: it is looked at first.
+        http::async_read_header(
+            socket_, input_, *parser_,
+            [self = shared_from_this(), mine = turn_](error_code error, std::size_t size) {
+                self->count(size);
+                if (self->goes_on(mine, error)) {
+                    self->on_head();
+                }
+            });
+    }
+
+    void on_head()
+    {
+        const auto announced = parser_->content_length();
+        if (parser_->get().result_int() < store_ok) {
+            finish({0, "", "an interim answer", sent_}, false);
+            return;
+        }
+        if (announced && *announced > answer_limit_bytes) {
+            finish({0, "", "the answer announces " + std::to_string(*announced) + " bytes", sent_},
+                   false);
+            return;
+        }
         http::async_read(
             socket_, input_, *parser_,
             [self = shared_from_this(), mine = turn_](error_code error, std::size_t size) {
                 self->count(size);
-                if (!self->goes_on(mine, error)) {
-                    return;
+                if (self->goes_on(mine, error)) {
+                    self->on_answer();
                 }
-                auto& message = self->parser_->get();
-                self->finish(
-                    {static_cast<int>(message.result_int()), std::move(message.body()), "", true},
-                    self->parser_->keep_alive());
             });
     }
 
+    void on_answer()
+    {
+        auto& message = parser_->get();
+        // Bytes behind the answer would be taken for the next one.
+        const bool keep = parser_->keep_alive() && input_.size() == 0;
+        finish({static_cast<int>(message.result_int()), std::move(message.body()), "", true}, keep);
+    }
+
     void count(std::size_t bytes)
     {
         if (const auto owner = owner_.lock()) {
@@ -258,7 +297,7 @@
     std::weak_ptr<implementation> owner_;
     tcp::socket socket_;
     asio::steady_timer timer_;
-    boost::beast::flat_buffer input_;
+    boost::beast::flat_buffer input_{input_limit_bytes};
     std::optional<http::response_parser<http::string_body>> parser_;
     std::optional<waiting_call> current_;
     mesh::listen_address connected_to_;
--- a/src/libshell/store_client_test.cpp
+++ b/src/libshell/store_client_test.cpp
@@ -6,6 +6,7 @@
 
 #include "libshell/store_client.h"
 #include "libshell/test_io.h"
+#include "libshell/test_streams.h"
 #include "standins/http_server.h"
 
 #include <memory>
@@ -152,4 +153,55 @@
     BOOST_TEST(after.requests == 2);
 }
 
+BOOST_DATA_TEST_CASE(answers_without_end_are_cut_off,
+                     data::make(test::endless_answers("HTTP/1.1 200 OK\r\n")), item)
+{
+    /// The longest object, twice.
+    constexpr std::size_t answer_bytes = 16ULL * 1024 * 1024;
+    boost::asio::io_context io(1);
+    test::endless_server server(io, item.start, item.piece);
+    store_client client(io, {"127.0.0.1", server.port()});
+    std::vector<store_reply> replies;
+    client.call(a_read, long_limit, [&](const store_reply& reply) { replies.push_back(reply); });
+    BOOST_TEST(test::run_long(io, [&] { return replies.size() == 1 && server.closed() > 0; }));
+    BOOST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST(replies.front().status == 0);
+    BOOST_TEST(server.written() <= answer_bytes + test::kernel_bytes);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_comes_twice_is_not_taken_for_the_next_one)
+{
+    boost::asio::io_context io(1);
+    const auto text = [](const std::string& body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body;
+    };
+    // With the answer itself, and apart from it.
+    for (const auto& first : {std::vector{text("1") + text("1")}, {text("1"), text("1")}}) {
+        test::tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        std::vector<std::shared_ptr<test::tcp::socket>> sockets;
+        std::array<char, 4'096> request{};
+        const std::function<void()> serve = [&] {
+            acceptor.async_accept([&](boost::system::error_code error, test::tcp::socket accepted) {
+                if (error) {
+                    return;
+                }
+                const auto socket = std::make_shared<test::tcp::socket>(std::move(accepted));
+                sockets.push_back(socket);
+                socket->async_read_some(boost::asio::buffer(request), [&, socket](auto, auto) {
+                    const auto answers = sockets.size() == 1 ? first : std::vector{text("2")};
+                    for (const auto& each : answers) {
+                        boost::system::error_code ignored;
+                        boost::asio::write(*socket, boost::asio::buffer(each), ignored);
+                    }
+                });
+                serve();
+            });
+        };
+        serve();
+        store_client client(io, {"127.0.0.1", acceptor.local_endpoint().port()});
+        BOOST_TEST(run(io, client, {a_read}).front().body == "1");
+        BOOST_TEST(run(io, client, {a_read}).front().body == "2");
+    }
+}
+
 } // namespace camphor::shell
