Leave out runs that the same read of a connection cancels

A node that stood still reads a run and its cancel together and handled them one after the other, so that the run reached the backend server after its caller had left.

Change: the frames of one read are decoded first; runs that a later one cancels are dropped. Test: frame_batch_test, which the order of handling alone cannot pass.

--- /dev/null
+++ b/src/libmesh/frame_batch_test.cpp
@@ -0,0 +1,79 @@
+// Which frames of one read are handled.
+#define BOOST_TEST_MODULE frame_batch
+#include "libmesh/frame_batch.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace camphor;
+using namespace camphor::mesh;
+
+namespace {
+
+/// `r1` asks for run 1, `c1` cancels it, `p` is a ping.
+frame_ptr read_frame(const std::string& text)
+{
+    auto out = std::make_shared<mesh_wire::mesh_frame>();
+    if (text == "p") {
+        out->__set_ping(true);
+        return out;
+    }
+    const auto call = std::stoll(text.substr(1));
+    if (text.front() == 'r') {
+        out->run.__set_call(call);
+        out->__isset.run = true;
+    } else {
+        out->cancel.__set_call(call);
+        out->__isset.cancel = true;
+    }
+    return out;
+}
+
+std::string to_text(const mesh_wire::mesh_frame& frame)
+{
+    return frame.__isset.run      ? "r" + std::to_string(frame.run.call)
+           : frame.__isset.cancel ? "c" + std::to_string(frame.cancel.call)
+                                  : "p";
+}
+
+struct batch_case {
+    const char* name;
+    std::vector<std::string> read;
+    std::vector<std::string> handled;
+};
+
+std::ostream& operator<<(std::ostream& out, const batch_case& item)
+{
+    return out << item.name;
+}
+
+const std::vector<batch_case> batch_cases{
+    {"nothing", {}, {}},
+    {"runs alone", {"r1", "p", "r2"}, {"r1", "p", "r2"}},
+    {"a run that is cancelled", {"r1", "p", "r2", "c1"}, {"p", "r2", "c1"}},
+    {"a cancel of a run that came before", {"c1", "r2"}, {"c1", "r2"}},
+    {"an id that is used again", {"c1", "r1"}, {"c1", "r1"}},
+    {"all of them", {"r1", "r2", "c2", "c1"}, {"c2", "c1"}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(runs_that_the_same_read_cancels_are_left_out,
+                     boost::unit_test::data::make(batch_cases), item)
+{
+    std::vector<frame_ptr> batch;
+    for (const auto& text : item.read) {
+        batch.push_back(read_frame(text));
+    }
+    drop_cancelled_runs(batch);
+    std::vector<std::string> handled;
+    for (const auto& frame : batch) {
+        handled.push_back(to_text(*frame));
+    }
+    BOOST_TEST(handled == item.handled, boost::test_tools::per_element());
+}
--- a/src/libsidecar/peer_links.cpp
+++ b/src/libsidecar/peer_links.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio.hpp>
 
+#include "libmesh/frame_batch.h"
 #include "libshell/tcp_options.h"
 #include "libshell/wire_codec.h"
 #include "libsidecar/peer_links.h"
@@ -181,6 +182,25 @@
 
     /// False when the connection was ended.
     bool take_frames()
+    {
+        std::vector<mesh::frame_ptr> batch;
+        const bool is_sound = decode_frames(batch);
+        mesh::drop_cancelled_runs(batch);
+        for (auto& frame : batch) {
+            owner_->on_event(mesh::frame_arrived{id_, std::move(frame)});
+            if (ended_) {
+                return false;
+            }
+        }
+        if (!is_sound) {
+            ++owner_->counters.refused_frames;
+            end();
+        }
+        return is_sound;
+    }
+
+    /// Moves the whole frames of the input to `batch`; false when one cannot be read.
+    bool decode_frames(std::vector<mesh::frame_ptr>& batch)
     {
         std::size_t at = 0;
         try {
@@ -190,18 +210,13 @@
                 if (input_.size() - at < shell::frame_header_bytes + length) {
                     break;
                 }
-                auto frame = std::make_shared<mesh_wire::mesh_frame>(shell::decode_mesh_frame(
-                    input_.substr(at + shell::frame_header_bytes, length)));
+                batch.push_back(
+                    std::make_shared<const mesh_wire::mesh_frame>(shell::decode_mesh_frame(
+                        input_.substr(at + shell::frame_header_bytes, length))));
                 at += shell::frame_header_bytes + length;
                 ++owner_->counters.frames_received;
-                owner_->on_event(mesh::frame_arrived{id_, std::move(frame)});
-                if (ended_) {
-                    return false;
-                }
             }
         } catch (const shell::wire_error&) {
-            ++owner_->counters.refused_frames;
-            end();
             return false;
         }
         input_.erase(0, at);
