Check the numbers of relays' rows too

Change: checked_number stands in the core and is used there as well; an unusable row is logged (roster.bad_row).

Test: an_odd_relay_row_is_refused (nine values), damaged copies of a row.

Conclusion: one place for ranges of numbers from outside.

--- a/platform/checked_number.h
+++ b/src/include/camphortally/checked_number.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <type_traits>
 
-namespace camphor::platform {
+namespace camphor {
 
 /// Smallest and largest value that a number may have, both included.
 template <class T>
@@ -77,4 +77,4 @@
     return document.contains(key) ? checked_number<T>(document, key, range) : otherwise;
 }
 
-} // namespace camphor::platform
+} // namespace camphor
--- a/src/include/camphortally/roster_rows.h
+++ b/src/include/camphortally/roster_rows.h
@@ -1,12 +1,27 @@
 // Rows of the table that lead a starting node to the mesh when its seeds are gone.
 #pragma once
 
+#include <camphortally/effect.h>
 #include <camphortally/platform_client.h>
 
+#include <cstdint>
+#include <string>
+
 namespace camphor {
 
 struct step_context;
 
+/// A relay's row.
+struct roster_row {
+    std::string zone;
+    peer_address address;
+    /// Wall clock.
+    std::int64_t written_at = 0;
+};
+
+/// @throws invalid_input for a row that names no relay to connect to
+roster_row parse_roster_row(const std::string& value);
+
 /// Table layout: `roster/<node>` holds `{"zone","host","port","at"}` of a relay, written while it
 /// is one. Only relays write, so that the number of rows follows the number of zones.
 class roster_rows {
--- a/src/libcamphor/bad_document_test.cpp
+++ b/src/libcamphor/bad_document_test.cpp
@@ -5,6 +5,7 @@
 
 #include <camphortally/change_writer.h>
 #include <camphortally/resource.h>
+#include <camphortally/roster_rows.h>
 
 #include "test_damage.h"
 #include "test_resources.h"
@@ -23,6 +24,8 @@
         "share_permille":50,"stage":2,"holder":"n","evidence":"{}","changed_at":"x"}})",
 };
 
+const std::string roster_text = R"({"zone":"z","host":"10.0.0.8","port":7620,"at":17})";
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(a_damaged_resource_is_read_or_refused, boost::unit_test::data::make(resources),
@@ -41,3 +44,21 @@
     BOOST_TEST(test::survives_damage<invalid_input>(
         record, [](const std::string& text) { parse_change_record(text); }));
 }
+
+BOOST_DATA_TEST_CASE(an_odd_relay_row_is_refused,
+                     boost::unit_test::data::make({"70000", "-1", "0", "4294967297", "1e300", "7.5",
+                                                   "\"7620\"", "null", "[[[[]]]]"}),
+                     port)
+{
+    auto text = roster_text;
+    const std::string good = "7620";
+    BOOST_TEST(parse_roster_row(text).address.port == 7620);
+    text.replace(text.find(good), good.size(), port);
+    BOOST_CHECK_THROW(parse_roster_row(text), invalid_input);
+}
+
+BOOST_AUTO_TEST_CASE(a_damaged_relay_row_is_read_or_refused)
+{
+    BOOST_TEST(test::survives_damage<invalid_input>(
+        roster_text, [](const std::string& text) { parse_roster_row(text); }));
+}
--- a/src/libcamphor/roster_rows.cpp
+++ b/src/libcamphor/roster_rows.cpp
@@ -1,4 +1,5 @@
 // Bootstrap rows in the table.
+#include <camphortally/checked_number.h>
 #include <camphortally/node.h>
 #include <camphortally/roster_rows.h>
 #include <camphortally/schema.h>
@@ -23,23 +24,13 @@
 constexpr std::chrono::milliseconds row_lifetime = 5min;
 constexpr std::size_t join_targets = 2;
 
-struct parsed_row {
-    std::string zone;
-    peer_address address;
-    std::int64_t written_at = 0;
-};
-
-/// Empty when the row cannot be read.
-std::optional<parsed_row> parse_row(const table_row& row)
+/// Empty, with a log line, when the row cannot be used.
+std::optional<roster_row> read_row(step_context& context, const table_row& row)
 {
     try {
-        const json document = parse_json(row.value);
-        return parsed_row{document.at("zone"),
-                          {document.at("host"), document.at("port").get<std::uint16_t>()},
-                          document.at("at").get<std::int64_t>()};
-    } catch (const invalid_input&) {
-        return std::nullopt;
-    } catch (const json::exception&) {
+        return parse_roster_row(row.value);
+    } catch (const invalid_input& error) {
+        context.log(log_level::warning, "roster.bad_row", row.key + ": " + error.what());
         return std::nullopt;
     }
 }
@@ -51,6 +42,21 @@
 
 } // namespace
 
+roster_row parse_roster_row(const std::string& value)
+{
+    const json document = parse_json(value);
+    try {
+        return {document.at("zone"),
+                {document.at("host"),
+                 static_cast<std::uint16_t>(checked_number(document, "port", any_port))},
+                checked_number(document, "at", any_count)};
+    } catch (const json::exception& error) {
+        throw invalid_input("", error.what());
+    } catch (const std::out_of_range& error) {
+        throw invalid_input("", error.what());
+    }
+}
+
 void roster_rows::refresh(step_context& context)
 {
     const auto& self = context.node.settings;
@@ -87,7 +93,7 @@
     }
     std::vector<peer_address> found;
     for (const auto& row : reply.rows) {
-        if (const auto parsed = parse_row(row)) {
+        if (const auto parsed = read_row(context, row)) {
             found.push_back(parsed->address);
         }
     }
@@ -102,7 +108,7 @@
 {
     const auto oldest = (context.wall_now() - row_lifetime).time_since_epoch().count();
     for (const auto& row : reply.rows) {
-        const auto parsed = parse_row(row);
+        const auto parsed = read_row(context, row);
         const bool own_zone = parsed && parsed->zone == context.node.settings.zone.value();
         if (own_zone && parsed->written_at < oldest) {
             // The condition spares a row that its node has refreshed meanwhile.
