--- a/src/libmesh/frame_batch_test.cpp
+++ b/src/libmesh/frame_batch_test.cpp
@@ -72,6 +72,7 @@
     }
     drop_cancelled_runs(batch);
     std::vector<std::string> handled;
+    handled.reserve(batch.size());
     for (const auto& frame : batch) {
         handled.push_back(to_text(*frame));
     }
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -152,7 +152,6 @@
 
     /// A run that got no answer. The backend server may have ended under it.
     struct cut_run {
-        std::string request;
         request_print print;
         backend_life life;
         time_point at;
@@ -257,7 +256,7 @@
     void on_crashes(link_id link, const mesh_wire::crash_report& report);
     /// Time until the call may be sent; none when nothing keeps it.
     std::optional<duration> quarantine_left(const request_print& print) const;
-    void spread_crashes(mesh_wire::crash_report report);
+    void spread_crashes(const mesh_wire::crash_report& report);
     /// Logs which requests came into quarantine and which left it.
     void review_quarantine();
     /// Keeps what outlasts all nodes in the store, and reads it once after the start.
--- a/src/libmesh/node_crashes.cpp
+++ b/src/libmesh/node_crashes.cpp
@@ -36,7 +36,7 @@
         cut_runs_.erase(cut_runs_.begin());
     }
     const backend_life life{run.backend, run.born};
-    cut_runs_.push_back({run.content->id, run.print, life, now_});
+    cut_runs_.push_back({run.print, life, now_});
     const bool is_current = own_ && own_->id == life.id && own_->born == life.born;
     if ((ended_life_ && ended_life_->life == life) || !is_current) {
         note_end(life, "it had ended before");
@@ -60,6 +60,7 @@
 
 void node::note_end(const backend_life& life, const std::string& reason)
 {
+    const bool is_news = !ended_life_ || ended_life_->life != life;
     ended_life_ = life_end{life, now_};
     std::vector<request_print> prints;
     for (const auto& item : cut_runs_) {
@@ -77,18 +78,18 @@
     if (prints.empty()) {
         return;
     }
-    ++counters_.backend_ends;
-    auto report = suspects_.note_end(life, prints, now_);
+    counters_.backend_ends += is_news ? 1U : 0U;
+    const auto report = suspects_.note_end(life, prints, now_);
     log(log_level::warning, "backend.ended", "",
         {{"backend", life.id.value()},
          {"born", std::to_string(life.born)},
          {"reason", reason},
          {"runs", std::to_string(prints.size())},
          {"suspects", std::to_string(report.ends.size())}});
-    spread_crashes(std::move(report));
+    spread_crashes(report);
 }
 
-void node::spread_crashes(mesh_wire::crash_report report)
+void node::spread_crashes(const mesh_wire::crash_report& report)
 {
     if (report.ends.empty()) {
         return;
