--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -234,6 +234,10 @@
 {
     connect([self = shared_from_this()](error_code error) {
         self->owner_->probe_pending = false;
+        if (self->owner_->closed) {
+            self->close();
+            return;
+        }
         if (!error) {
             self->usable_until_ = steady_clock::now() + default_idle;
             self->become_idle();
--- a/src/libsidecar/app_client.h
+++ b/src/libsidecar/app_client.h
@@ -26,7 +26,7 @@
 public:
     using event_function = std::function<void(mesh::event)>;
 
-    /// `on_event` hears app_answered and app_failed, never from within send() or drop().
+    /// `on_event` hears app_answered, app_failed and app_gone, never from within send() or drop().
     app_client(boost::asio::io_context& io, mesh::listen_address address, event_function on_event);
     ~app_client();
     app_client(const app_client&) = delete;
--- a/src/libsidecar/app_client_test.cpp
+++ b/src/libsidecar/app_client_test.cpp
@@ -45,6 +45,8 @@
     }
 
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    std::size_t connections() const { return connections_; }
+    void stop_listening() { acceptor_.close(); }
 
 private:
     struct connection {
@@ -355,4 +357,41 @@
     }
 }
 
+namespace {
+
+bool has_connections(asio::io_context& io, const scripted_server& server, std::size_t wanted)
+{
+    return run_long(io, [&] { return server.connections() == wanted; });
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(the_end_of_a_backend_server_shows_without_another_request,
+                     boost::unit_test::data::make({true, false}), has_ended)
+{
+    asio::io_context io{1};
+    const std::string served = good_head + "Content-Length: 2\r\n\r\nok";
+    scripted_server server(io, {{{{}, ending::closed}}, {{{served}}}});
+    std::vector<mesh::event> heard;
+    app_client client(io, {"127.0.0.1", server.port()},
+                      [&](mesh::event happened) { heard.push_back(std::move(happened)); });
+    client.send(request(1));
+    BOOST_REQUIRE(has_connections(io, server, 1));
+    if (has_ended) {
+        server.stop_listening();
+        BOOST_REQUIRE(run_long(io, [&] { return heard.size() == 2; }));
+        BOOST_TEST(std::holds_alternative<mesh::app_gone>(heard.back()));
+        return;
+    }
+    BOOST_REQUIRE(has_connections(io, server, 2));
+    // The client's end of it was open first: its handler is due.
+    io.restart();
+    io.poll();
+    // The connection that was made to find out serves the next request.
+    client.send(request(2));
+    BOOST_REQUIRE(run_long(io, [&] { return heard.size() == 2; }));
+    BOOST_TEST(std::holds_alternative<mesh::app_answered>(heard.back()));
+    BOOST_TEST(client.counters().connections == 2U);
+}
+
 } // namespace camphor::sidecar
