Do not suspect requests that found nothing listening

Three such tries put a request in quarantine.

Ruled out: prints that collide; the refused requests had no runs.

Change: runs that are under way become suspects as they break, not before. A backend server that hangs is known when its runs are given up.

Test, failed before: requests_that_found_nothing_listening_are_no_suspects.

--- a/src/libmesh/crash_request_test.cpp
+++ b/src/libmesh/crash_request_test.cpp
@@ -303,3 +303,27 @@
     day.run();
     BOOST_TEST(day.net.refusals(quarantine_reason) == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(requests_that_found_nothing_listening_are_no_suspects)
+{
+    test_net net(nodes);
+    net.configure(true, 2000ms, 500ms);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.check_in(i);
+        // Nobody has noticed yet.
+        net.app(i).crashed = true;
+    }
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.send_to(i, "first" + std::to_string(i), "/p/same");
+    }
+    net.run_for(3s);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.app(i).crashed = false;
+        net.check_in(i);
+    }
+    net.run_for(1s);
+    net.send_to(0, "second", "/p/same");
+    net.run_for(3s);
+    BOOST_TEST(net.results().at("second").status == 200);
+    BOOST_TEST(net.refusals(quarantine_reason) == 0U);
+}
--- a/src/libmesh/node_crashes.cpp
+++ b/src/libmesh/node_crashes.cpp
@@ -69,12 +69,7 @@
         }
     }
     std::erase_if(cut_runs_, [&](const cut_run& item) { return item.life == life; });
-    for (const auto& [id, run] : runs_) {
-        // It hangs still: no answer comes from there.
-        if (run.sent && backend_life{run.backend, run.born} == life) {
-            prints.push_back(run.print);
-        }
-    }
+    // Runs that are still under way follow as they end: some of them were never connected.
     if (prints.empty()) {
         return;
     }
