--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -160,7 +160,7 @@
 private:
     using parser = http::response_parser<http::string_body>;
 
-    void connect(std::function<void(error_code)> done);
+    void connect(const std::function<void(error_code)>& done);
     void write();
     void read();
     void read_part();
@@ -191,7 +191,7 @@
     std::set<std::string> refused_;
 };
 
-void app_client::implementation::connection::connect(std::function<void(error_code)> done)
+void app_client::implementation::connection::connect(const std::function<void(error_code)>& done)
 {
     timer_.expires_after(connect_timeout);
     timer_.async_wait([weak = weak_from_this(), done](error_code error) {
