Give the cases of the platform's node ports of their own

Both chose ports that were free at the time, among those that the kernel gives to clients. That another process took one before the node did is suspected, not shown: the node's log was gone with its folder. Alone it passed.

Change: each case has a range of ports below the kernel's, and prints its nodes' logs when it fails.

Conclusion: the failure stays listed as suspected.

--- a/testsuite/sidecar/crash_request.py
+++ b/testsuite/sidecar/crash_request.py
@@ -270,6 +270,10 @@
                 time.sleep(CONTACT_S)
                 for node in mesh.nodes:
                     check_is_known(mesh, node, "a node after the end of all")
+            except Exception:
+                for node in mesh.nodes:
+                    node.print_log()
+                raise
             finally:
                 mesh.stop()
     finally:
--- a/testsuite/sidecar/nodes.py
+++ b/testsuite/sidecar/nodes.py
@@ -1,5 +1,6 @@
 """Real nodes on the published protocol, each beside a stand-in of a backend server."""
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -12,12 +13,29 @@
 LIMIT_S = 20  # Far beyond what any step takes; a step that fails ends the case by it.
 
 
+# Below the ports that the kernel gives to clients, a range for each case: a port that was free when it
+# was chosen is free when its node takes it.
+PORTS = itertools.count(int(os.environ.get("CAMPHOR_FIRST_PORT", "21000")))
+
+
+def is_free(port):
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+        return True
+    except OSError:
+        return False
+
+
 def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
+    return list(itertools.islice(filter(is_free, PORTS), count))
+
+
+def free_port_pair():
+    """Two ports in a row."""
+    first = free_ports(1)[0]
+    while not is_free(next(PORTS)):
+        first = free_ports(1)[0]
+    return first
 
 
 def boot_document(name, service, app_port, ports, store_port):
@@ -70,9 +88,7 @@
         """`backend` replaces the backend server that answers everything: started by the caller."""
         *listen, self.app_port = free_ports(5)
         # The peers' port and the next one, for metrics, must both be free.
-        self.peers = next(p for p in range(20000 + os.getpid() % 20000, 60000, 2)
-                          if self.both_free(p))
-        Node.taken.add(self.peers)
+        self.peers = free_port_pair()
         self.inbound, self.outbound, self.ready, self.control = listen
         self.service, self.instance, self.sequence, self.born = service, instance, 0, 1
         self.backend = backend or standin.Backend(instance)
@@ -96,6 +112,11 @@
         self.process.kill()
         self.process.wait(timeout=LIMIT_S)
 
+    def print_log(self):
+        """For a case that failed: its folder goes with it."""
+        with open(self.log.name, encoding="utf-8") as file:
+            print(self.log.name, "exit", self.process.poll(), *file.readlines()[-20:], sep="\n")
+
     def is_ready(self):
         return call(self.ready, "GET", "/-/readyz")[0] == 200
 
@@ -109,19 +130,6 @@
         with open(self.log.name, encoding="utf-8") as file:
             return [json.loads(line) for line in file if line.endswith("\n")]
 
-    taken = set()
-
-    @staticmethod
-    def both_free(port):
-        if port in Node.taken:
-            return False
-        try:
-            for each in (port, port + 1):
-                socket.create_server(("127.0.0.1", each)).close()
-            return True
-        except OSError:
-            return False
-
     def check_in(self, state="ready"):
         self.sequence += 1
         body = {"service": self.service, "address": f"127.0.0.1:{self.app_port}", "zone": "z1",
--- a/testsuite/sidecar/run.py
+++ b/testsuite/sidecar/run.py
@@ -70,6 +70,10 @@
             node.log.seek(0)
             events = [json.loads(line)["event"] for line in node.log]
             assert events[0] == "node.started" and events[-1] == "node.stopped", events[-3:]
+    except Exception:
+        for node in nodes:
+            node.print_log()
+        raise
     finally:
         for node in nodes:
             if node.process.poll() is None:
