--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -62,7 +62,8 @@
 {
     ++counters_.requests;
     const auto& content = *happened.content;
-    const auto refuse_early = [&](std::int32_t status, const std::string& reason) {
+    const auto refuse_early = [&](std::int32_t status, const std::string& reason,
+                                  duration wait = early_refusal_wait) {
         ++counters_.refusals_by_reason[reason];
         log(log_level::warning, "request.refused", content.id,
             {{"reason", reason},
@@ -72,7 +73,7 @@
              {"config_version", std::to_string(config_ ? config_->version().value() : 0)}});
         std::optional<milliseconds> retry_after;
         if (status == 503) {
-            retry_after = early_refusal_wait;
+            retry_after = std::chrono::duration_cast<milliseconds>(wait);
         }
         out_.emplace_back(deliver_refusal{happened.call, status, reason, retry_after});
     };
@@ -89,9 +90,15 @@
         refuse_early(404, "no_route");
         return;
     }
+    const auto print = print_of(content, settings_.service);
+    if (const auto left = quarantine_left(print)) {
+        refuse_early(503, quarantine_reason, *left);
+        return;
+    }
     call_state call;
     call.call = happened.call;
     call.content = happened.content;
+    call.print = print;
     call.config = config_;
     call.way = way;
     call.arrived = now_;
@@ -242,6 +249,11 @@
 
 void node::place(call_state& call)
 {
+    // Others may have ended under it since it came.
+    if (quarantine_left(call.print)) {
+        give_up(call, quarantine_reason);
+        return;
+    }
     auto all = candidates(call);
     if (all.empty()) {
         // Only one release of a service in a roll-out may have backend servers left.
@@ -315,6 +327,7 @@
     wanted.__set_may_wait(may_wait);
     wanted.__set_safe(call.way->safe);
     wanted.__set_repeated(call.arrivals > 0);
+    wanted.__set_content_print(static_cast<std::int64_t>(call.print.content));
     const auto left = std::chrono::duration_cast<milliseconds>(call.deadline - now_).count();
     wanted.__set_time_left_ms(static_cast<std::int32_t>(left));
     const auto objective = std::chrono::duration_cast<milliseconds>(call.objective - now_).count();
@@ -358,6 +371,7 @@
              {"backend", tried.backend.value()},
              {"release", tried.release.value()},
              {"outcome", name_of(result.outcome)},
+             {"print", text_of(call.print)},
              {"status", std::to_string(status)},
              {"reason", result.reason},
              {"wait_ms", millis(result.wait)},
@@ -419,6 +433,10 @@
     }
     call.refused_by[tried.owner] = result.wait;
     call.last_reason = result.reason;
+    if (result.reason == quarantine_reason) {
+        give_up(call, quarantine_reason);
+        return;
+    }
     if (tried.may_wait || result.reason != "overload") {
         call.full.insert(tried.owner);
     }
@@ -498,6 +516,9 @@
 
 void node::hedge(call_state& call)
 {
+    if (quarantine_left(call.print)) {
+        return;
+    }
     auto free = candidates(call);
     std::erase_if(free, [&](const candidate& item) {
         return item.node == call.attempts.front().owner || item.failing >= worst_hedge ||
@@ -561,7 +582,7 @@
     const bool may_return = wait <= left / return_part;
     const auto spread = duration(static_cast<duration::rep>(
         static_cast<double>((left / return_part - wait).count()) * random_part()));
-    const auto after = may_return ? wait + spread : left;
+    const auto after = quarantine_left(call.print).value_or(may_return ? wait + spread : left);
     log(log_level::warning, "request.refused", call.content->id,
         {{"reason", reason},
          {"last", call.last_reason},
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -3,6 +3,7 @@
 #include "libmesh/node.h"
 
 #include <algorithm>
+#include <array>
 
 namespace camphor::mesh {
 
@@ -16,6 +17,14 @@
 /// Sent to the backend server less than this before the deadline a request cannot be served.
 constexpr auto least_time = 5ms;
 
+/// Statuses by which a client knows that its request has not run. Of a backend server's answers
+/// only those with a mark tell so.
+bool promises_not_run(std::int32_t status)
+{
+    constexpr std::array statuses{408, 421, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 } // namespace
 
 void node::offer_run(const run_origin& origin, const mesh_wire::run_request& wanted,
@@ -27,7 +36,8 @@
     run.content = std::move(content);
     run.backend = backend_id{wanted.backend};
     run.way = route_id{wanted.route};
-    run.caller_service = wanted.caller_service;
+    run.print = {static_cast<std::uint64_t>(wanted.content_print),
+                 service_id{wanted.caller_service}};
     run.deadline = now_ + milliseconds(wanted.time_left_ms);
     run.safe = wanted.safe;
     run.offered_at = now_;
@@ -70,13 +80,19 @@
         finish_run(id, {mesh_wire::run_outcome::refused, nullptr, "deadline", {}}, false);
         return;
     }
+    if (quarantine_left(run.print)) {
+        ++counters_.owner_refusals;
+        finish_run(id, {mesh_wire::run_outcome::refused, nullptr, quarantine_reason, {}}, false);
+        return;
+    }
     run.sent = true;
     run.sent_at = now_;
+    run.born = own_->born;
     ++counters_.runs;
     send_to_app order;
     order.run = id;
     order.content = run.content;
-    order.caller_service = run.caller_service;
+    order.caller_service = run.print.caller.value();
     order.expected = run.backend;
     order.time_left = std::chrono::duration_cast<milliseconds>(run.deadline - now_);
     order.unsafe = !run.safe;
@@ -156,10 +172,16 @@
     const bool failed = status >= 500 || happened.not_executed;
     note_outcome(failed);
     note_release(found->second, !failed);
+    note_answer(found->second, !failed);
     if (happened.other_instance) {
         retire_backend(backend_state::unreachable, "another instance has its address");
     }
-    if (happened.not_executed || happened.other_instance) {
+    const bool is_proven = happened.not_executed || happened.other_instance;
+    if (!is_proven && !found->second.safe && promises_not_run(status)) {
+        // Passed on it would promise what the backend server did not say.
+        finish_run(happened.run, {mesh_wire::run_outcome::failed, nullptr, "unproven_refusal", {}},
+                   false);
+    } else if (is_proven) {
         finish_run(happened.run,
                    {mesh_wire::run_outcome::not_executed,
                     nullptr,
@@ -195,9 +217,32 @@
     }
     note_release(found->second, false);
     const auto* reason = happened.kind == app_failure::garbled ? "garbled" : "broken";
+    log_broken(found->second, reason);
+    if (happened.kind == app_failure::broken) {
+        note_cut(found->second);
+    }
     finish_run(happened.run, {mesh_wire::run_outcome::failed, nullptr, reason, {}}, false);
 }
 
+void node::take(const app_gone&)
+{
+    if (!own_ || own_->state == backend_state::draining || own_->state == backend_state::gone) {
+        return;
+    }
+    retire_backend(backend_state::unreachable, "nothing listens at its address");
+    note_end({own_->id, own_->born}, "nothing listens at its address");
+}
+
+void node::log_broken(const run_state& run, const std::string& reason)
+{
+    log(log_level::info, "run.broken", run.content->id,
+        {{"backend", run.backend.value()},
+         {"reason", reason},
+         {"print", text_of(run.print)},
+         {"at_work_ms", millis(now_ - run.sent_at)},
+         {"others_at_work", std::to_string(queue_.running() - 1)}});
+}
+
 void node::note_release(const run_state& run, bool good)
 {
     // A cold backend server is slow whatever its release.
@@ -236,6 +281,8 @@
         if (now_ - run.sent_at > queue_.hold(run.way, queue_.mean_hold())) {
             note_release(run, true);
         }
+        // A backend server that ends without closing its connections is known by such runs only.
+        note_cut(run);
     }
     queue_.finish(found->first, false, now_);
     runs_.erase(found);
@@ -268,6 +315,9 @@
     }
     const bool other = !own_ || own_->id != happened.id || own_->born != happened.born;
     own_sequence_ = happened.sequence;
+    if (other && own_) {
+        note_end({own_->id, own_->born}, "another one is there");
+    }
     backend seen;
     seen.id = happened.id;
     seen.born = happened.born;
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -14,6 +14,7 @@
 #include <charconv>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
 
 /// On one machine a connection opens at once or not at all.
 constexpr auto connect_timeout = 1s;
+/// A process that ends closes its connections one after the other, its listening one among them.
+constexpr auto probe_delay = 50ms;
 /// Part of the announced idle time for which a connection is used again, in percent.
 constexpr int used_idle_percent = 80;
 /// Idle time of a connection that announced none.
@@ -50,6 +53,8 @@
 constexpr std::size_t long_answer_bytes = 16ULL * 1024;
 /// Interim answers (1xx) to one request.
 constexpr int most_interim_answers = 16;
+/// Refusals on a connection that are remembered; it is not kept for longer.
+constexpr std::size_t most_refused_ids = 64;
 /// Answers to other requests that are skipped in search of the own one.
 constexpr int most_stray_answers = 4;
 
@@ -91,13 +96,18 @@
     class connection;
 
     implementation(asio::io_context& context, mesh::listen_address target, event_function handler)
-        : io(context), address(std::move(target)), on_event(std::move(handler))
+        : io(context), address(std::move(target)), on_event(std::move(handler)),
+          probe_timer(context)
     {
     }
 
     void send(const mesh::send_to_app& order);
-    std::shared_ptr<connection> take_idle(bool fresh);
+    std::shared_ptr<connection> take_idle(const mesh::send_to_app& order);
     std::size_t bytes_held() const;
+    /// A connection broke: finds out whether the backend server has ended, and keeps the connection
+    /// made for that when it has not.
+    void probe_soon();
+    void probe();
     /// Gives the longest answer up when all that are not whole yet hold too much.
     void bound_held_bytes();
 
@@ -108,6 +118,8 @@
     std::map<mesh::run_id, std::shared_ptr<connection>> busy;
     /// Newest last.
     std::vector<std::shared_ptr<connection>> idle;
+    asio::steady_timer probe_timer;
+    bool probe_pending = false;
     bool closed = false;
 };
 
@@ -120,6 +132,8 @@
     }
 
     void connect_and_run(const mesh::send_to_app& order);
+    /// Connects and becomes idle.
+    void connect_and_wait();
     void run(const mesh::send_to_app& order);
     void close()
     {
@@ -140,11 +154,13 @@
         return input_.size() + (parser_ ? parser_->get().body().size() : 0);
     }
     void fail(mesh::app_failure kind, bool refused_connection = false);
+    bool has_refused(const std::string& request) const { return refused_.contains(request); }
     bool is_fresh() const { return steady_clock::now() - idle_since_ < fresh_idle; }
 
 private:
     using parser = http::response_parser<http::string_body>;
 
+    void connect(std::function<void(error_code)> done);
     void write();
     void read();
     void read_part();
@@ -169,31 +185,64 @@
     steady_clock::time_point idle_since_{};
     steady_clock::time_point usable_until_{};
     std::uint64_t uses_ = 0;
+    /// Requests that this connection carried, the current one among them.
+    std::uint64_t requests_ = 0;
+    /// Ids of those that were refused on it: their refusals may come once more.
+    std::set<std::string> refused_;
 };
 
-void app_client::implementation::connection::connect_and_run(const mesh::send_to_app& order)
+void app_client::implementation::connection::connect(std::function<void(error_code)> done)
 {
-    order_ = order;
     timer_.expires_after(connect_timeout);
-    timer_.async_wait([weak = weak_from_this()](error_code error) {
+    timer_.async_wait([weak = weak_from_this(), done](error_code error) {
         if (const auto self = weak.lock(); self && !error && !self->closed_) {
-            self->fail(mesh::app_failure::unsent, true);
+            done(asio::error::timed_out);
         }
     });
     const tcp::endpoint target(asio::ip::make_address(owner_->address.host), owner_->address.port);
     ++owner_->counters.connections;
-    socket_.async_connect(target, [self = shared_from_this()](error_code error) {
+    socket_.async_connect(target, [self = shared_from_this(), done](error_code error) {
         if (self->closed_) {
             return;
         }
         self->timer_.cancel();
         if (error) {
             ++self->owner_->counters.failed_connections;
-            self->fail(mesh::app_failure::unsent, true);
+        } else {
+            shell::set_tcp_options(self->socket_);
+        }
+        done(error);
+    });
+}
+
+void app_client::implementation::connection::connect_and_run(const mesh::send_to_app& order)
+{
+    order_ = order;
+    connect([self = shared_from_this()](error_code error) {
+        if (!error) {
+            self->write();
             return;
         }
-        shell::set_tcp_options(self->socket_);
-        self->write();
+        if (error == asio::error::connection_refused) {
+            self->owner_->on_event(mesh::app_gone{});
+        }
+        self->fail(mesh::app_failure::unsent, true);
+    });
+}
+
+void app_client::implementation::connection::connect_and_wait()
+{
+    connect([self = shared_from_this()](error_code error) {
+        self->owner_->probe_pending = false;
+        if (!error) {
+            self->usable_until_ = steady_clock::now() + default_idle;
+            self->become_idle();
+            return;
+        }
+        self->close();
+        if (error == asio::error::connection_refused) {
+            self->owner_->on_event(mesh::app_gone{});
+        }
     });
 }
 
@@ -220,6 +269,7 @@
     output_ += "\r\n";
     output_ += content.body;
     ++owner_->counters.requests;
+    ++requests_;
     answered_ = false;
     strays_ = 0;
     interim_answers_ = 0;
@@ -300,6 +350,12 @@
         return;
     }
     const auto id = value_of(message, header::request_id);
+    if (id.empty() && requests_ > 1) {
+        // It may answer an earlier request once more: nothing tells what became of this one.
+        ++owner_->counters.stray_answers;
+        fail(mesh::app_failure::garbled);
+        return;
+    }
     if (!id.empty() && id != order_.content->id) {
         // A late second answer to an earlier request: the own one follows it.
         ++owner_->counters.stray_answers;
@@ -341,7 +397,11 @@
         idle_for = std::chrono::milliseconds(1s) * seconds * used_idle_percent / 100;
     }
     usable_until_ = steady_clock::now() + idle_for;
-    const bool reusable = parser_->keep_alive() && input_.size() == 0;
+    if (happened.not_executed || happened.other_instance) {
+        refused_.insert(order_.content->id);
+    }
+    const bool reusable =
+        parser_->keep_alive() && input_.size() == 0 && refused_.size() < most_refused_ids;
     content->body = std::move(message.body());
     happened.content = std::move(content);
     const auto self = shared_from_this();
@@ -389,18 +449,47 @@
     owner_->busy.erase(order_.run);
     close();
     owner_->on_event(mesh::app_failed{order_.run, kind, refused_connection});
+    if (kind == mesh::app_failure::broken) {
+        owner_->probe_soon();
+    }
+}
+
+void app_client::implementation::probe_soon()
+{
+    if (probe_pending || closed) {
+        return;
+    }
+    probe_pending = true;
+    probe_timer.expires_after(probe_delay);
+    probe_timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && !self->closed) {
+            self->probe();
+        }
+    });
+}
+
+void app_client::implementation::probe()
+{
+    // A kept connection that is open shows that the backend server lives.
+    if (!idle.empty()) {
+        probe_pending = false;
+        return;
+    }
+    std::make_shared<connection>(shared_from_this())->connect_and_wait();
 }
 
 std::shared_ptr<app_client::implementation::connection>
-app_client::implementation::take_idle(bool fresh)
+app_client::implementation::take_idle(const mesh::send_to_app& order)
 {
     while (!idle.empty()) {
         auto item = idle.back();
-        if (fresh && item->is_clean() && !item->is_fresh()) {
+        const bool clean = item->is_clean();
+        if (clean &&
+            ((order.unsafe && !item->is_fresh()) || item->has_refused(order.content->id))) {
             return nullptr;
         }
         idle.pop_back();
-        if (item->is_clean()) {
+        if (clean) {
             return item;
         }
         item->close();
@@ -435,7 +524,7 @@
 
 void app_client::implementation::send(const mesh::send_to_app& order)
 {
-    if (const auto kept = take_idle(order.unsafe)) {
+    if (const auto kept = take_idle(order)) {
         busy.emplace(order.run, kept);
         kept->run(order);
         return;
@@ -453,6 +542,7 @@
 app_client::~app_client()
 {
     self_->closed = true;
+    self_->probe_timer.cancel();
     for (const auto& item : self_->idle) {
         item->close();
     }
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -104,7 +104,7 @@
             return;
         }
         try {
-            const auto answer = platform::read_rows(reply.body);
+            const auto answer = read_rows(reply);
             take_nodes(answer.rows);
             if (answer.truncated && answer.rows.size() > 1) {
                 // The last row comes again as the first of the next part.
@@ -116,6 +116,15 @@
     });
 }
 
+platform::store_rows store_follower::read_rows(const shell::store_reply& reply)
+{
+    auto out = platform::read_rows(reply.body);
+    for (const auto& row : out.unreadable) {
+        log(log_level::warning, "store.bad_row", {{"key", row.key}, {"reason", row.reason}});
+    }
+    return out;
+}
+
 void store_follower::take_nodes(const std::vector<platform::store_row>& rows)
 {
     mesh::nodes_listed listed;
@@ -138,19 +147,27 @@
                         return;
                     }
                     try {
-                        for (const auto& row : platform::read_rows(reply.body).rows) {
-                            if (const auto status =
-                                    platform::read_rollout_status(row.key, row.value)) {
-                                on_event_(mesh::rollout_status_read{*status, row.version});
-                            }
-                        }
-                    } catch (const std::runtime_error& error) {
-                        log(log_level::warning, "store.bad_row",
-                            {{"table", "status"}, {"reason", error.what()}});
+                        take_statuses(read_rows(reply).rows);
+                    } catch (const platform::bad_store_answer& error) {
+                        retry_later({0, "", error.what(), true}, &store_follower::read_status);
                     }
                 });
 }
 
+void store_follower::take_statuses(const std::vector<platform::store_row>& rows)
+{
+    for (const auto& row : rows) {
+        try {
+            if (const auto status = platform::read_rollout_status(row.key, row.value)) {
+                on_event_(mesh::rollout_status_read{*status, row.version});
+            }
+        } catch (const platform::bad_row& error) {
+            log(log_level::warning, "store.bad_row",
+                {{"table", "status"}, {"key", row.key}, {"reason", error.what()}});
+        }
+    }
+}
+
 void store_follower::retry_later(const shell::store_reply& reply, void (store_follower::*again)())
 {
     if (stopped_) {
@@ -243,7 +260,7 @@
         return;
     }
     try {
-        const auto answer = platform::read_rows(reply.body);
+        const auto answer = read_rows(reply);
         mesh::rows_read happened;
         bool has_order = false;
         for (const auto& row : answer.rows) {
@@ -336,4 +353,55 @@
     });
 }
 
+void store_follower::read_crashes()
+{
+    calls_.call(platform::read_table(platform::crash_table), call_limit,
+                [this](const shell::store_reply& reply) {
+                    mesh::crashes_read happened;
+                    if (reply.status == shell::store_ok) {
+                        happened.done = true;
+                        happened.report = take_crashes(reply);
+                    } else {
+                        log(log_level::info, "suspects.not_read",
+                            {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
+                    }
+                    on_event_(std::move(happened));
+                });
+}
+
+mesh_wire::crash_report store_follower::take_crashes(const shell::store_reply& reply)
+{
+    mesh_wire::crash_report out;
+    try {
+        for (const auto& row : read_rows(reply).rows) {
+            try {
+                const auto part =
+                    platform::read_crash_row(row.value, std::chrono::system_clock::now());
+                out.ends.insert(out.ends.end(), part.ends.begin(), part.ends.end());
+            } catch (const platform::bad_row& error) {
+                log(log_level::warning, "store.bad_row",
+                    {{"table", platform::crash_table}, {"key", row.key}, {"reason", error.what()}});
+            }
+        }
+    } catch (const platform::bad_store_answer& error) {
+        log(log_level::warning, "store.bad_row",
+            {{"table", platform::crash_table}, {"reason", error.what()}});
+    }
+    return out;
+}
+
+void store_follower::write(const mesh::write_crashes& order)
+{
+    const auto row = platform::write_row(
+        platform::crash_table, self_.node,
+        platform::write_crash_row(order.report, std::chrono::system_clock::now()));
+    calls_.call(row, call_limit, [this](const shell::store_reply& reply) {
+        if (reply.status != shell::store_ok) {
+            log(log_level::warning, "suspects.not_written",
+                {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
+        }
+        on_event_(mesh::crashes_written{reply.status == shell::store_ok});
+    });
+}
+
 } // namespace camphor::sidecar
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -64,6 +64,10 @@
 
 class rollout_share;
 
+class backend_end;
+
+class crash_report;
+
 class mesh_frame;
 
 typedef struct _owner_load__isset {
@@ -140,7 +144,7 @@
 std::ostream& operator<<(std::ostream& out, const owner_load& obj);
 
 typedef struct _run_request__isset {
-  _run_request__isset() : call(false), backend(false), route(false), method(false), target(false), head(false), body(false), request_id(false), time_left_ms(false), objective_left_ms(false), caller_service(false), rank(false), may_wait(false), safe(false), repeated(false) {}
+  _run_request__isset() : call(false), backend(false), route(false), method(false), target(false), head(false), body(false), request_id(false), time_left_ms(false), objective_left_ms(false), caller_service(false), rank(false), may_wait(false), safe(false), repeated(false), content_print(false) {}
   bool call :1;
   bool backend :1;
   bool route :1;
@@ -156,6 +160,7 @@
   bool may_wait :1;
   bool safe :1;
   bool repeated :1;
+  bool content_print :1;
 } _run_request__isset;
 
 class run_request : public virtual ::apache::thrift::TBase {
@@ -180,7 +185,8 @@
                 rank(0),
                 may_wait(0),
                 safe(0),
-                repeated(0) {
+                repeated(0),
+                content_print(0) {
   }
 
   virtual ~run_request() noexcept;
@@ -199,6 +205,7 @@
   bool may_wait;
   bool safe;
   bool repeated;
+  int64_t content_print;
 
   _run_request__isset __isset;
 
@@ -232,6 +239,8 @@
 
   void __set_repeated(const bool val);
 
+  void __set_content_print(const int64_t val);
+
   bool operator == (const run_request & rhs) const
   {
     if (!(call == rhs.call))
@@ -264,6 +273,8 @@
       return false;
     if (!(repeated == rhs.repeated))
       return false;
+    if (!(content_print == rhs.content_print))
+      return false;
     return true;
   }
   bool operator != (const run_request &rhs) const {
@@ -1129,8 +1140,132 @@
 
 std::ostream& operator<<(std::ostream& out, const rollout_share& obj);
 
+typedef struct _backend_end__isset {
+  _backend_end__isset() : content_print(false), caller_service(false), backend(false), born(false), cleared(false), age_ms(false) {}
+  bool content_print :1;
+  bool caller_service :1;
+  bool backend :1;
+  bool born :1;
+  bool cleared :1;
+  bool age_ms :1;
+} _backend_end__isset;
+
+class backend_end : public virtual ::apache::thrift::TBase {
+ public:
+
+  backend_end(const backend_end&);
+  backend_end(backend_end&&) noexcept;
+  backend_end& operator=(const backend_end&);
+  backend_end& operator=(backend_end&&) noexcept;
+  backend_end() noexcept
+              : content_print(0),
+                caller_service(),
+                backend(),
+                born(0),
+                cleared(0),
+                age_ms(0) {
+  }
+
+  virtual ~backend_end() noexcept;
+  int64_t content_print;
+  std::string caller_service;
+  std::string backend;
+  int64_t born;
+  bool cleared;
+  int64_t age_ms;
+
+  _backend_end__isset __isset;
+
+  void __set_content_print(const int64_t val);
+
+  void __set_caller_service(const std::string& val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_cleared(const bool val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const backend_end & rhs) const
+  {
+    if (!(content_print == rhs.content_print))
+      return false;
+    if (!(caller_service == rhs.caller_service))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const backend_end &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const backend_end & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(backend_end &a, backend_end &b);
+
+std::ostream& operator<<(std::ostream& out, const backend_end& obj);
+
+typedef struct _crash_report__isset {
+  _crash_report__isset() : ends(false) {}
+  bool ends :1;
+} _crash_report__isset;
+
+class crash_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  crash_report(const crash_report&);
+  crash_report(crash_report&&) noexcept;
+  crash_report& operator=(const crash_report&);
+  crash_report& operator=(crash_report&&) noexcept;
+  crash_report() noexcept {
+  }
+
+  virtual ~crash_report() noexcept;
+  std::vector<backend_end>  ends;
+
+  _crash_report__isset __isset;
+
+  void __set_ends(const std::vector<backend_end> & val);
+
+  bool operator == (const crash_report & rhs) const
+  {
+    if (!(ends == rhs.ends))
+      return false;
+    return true;
+  }
+  bool operator != (const crash_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const crash_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(crash_report &a, crash_report &b);
+
+std::ostream& operator<<(std::ostream& out, const crash_report& obj);
+
 typedef struct _mesh_frame__isset {
-  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false) {}
+  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false), crashes(false) {}
   bool state :1;
   bool run :1;
   bool answer :1;
@@ -1140,6 +1275,7 @@
   bool report :1;
   bool share :1;
   bool ping :1;
+  bool crashes :1;
 } _mesh_frame__isset;
 
 class mesh_frame : public virtual ::apache::thrift::TBase {
@@ -1163,6 +1299,7 @@
   evidence report;
   rollout_share share;
   bool ping;
+  crash_report crashes;
 
   _mesh_frame__isset __isset;
 
@@ -1184,6 +1321,8 @@
 
   void __set_ping(const bool val);
 
+  void __set_crashes(const crash_report& val);
+
   bool operator == (const mesh_frame & rhs) const
   {
     if (__isset.state != rhs.__isset.state)
@@ -1222,6 +1361,10 @@
       return false;
     else if (__isset.ping && !(ping == rhs.ping))
       return false;
+    if (__isset.crashes != rhs.__isset.crashes)
+      return false;
+    else if (__isset.crashes && !(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const mesh_frame &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -34,6 +34,8 @@
   14: bool safe
   // The sender counts this arrival as a retry.
   15: bool repeated
+  // Hash of what stays the same when a client repeats the request; 0 when the sender does not tell.
+  16: i64 content_print
 }
 
 enum run_outcome {
@@ -163,6 +165,22 @@
   8: i64 age_ms
 }
 
+// A backend server that ended while it ran a request.
+struct backend_end {
+  1: i64 content_print
+  2: string caller_service
+  3: string backend
+  // Start of the backend server's life.
+  4: i64 born
+  // The request was answered since, or the backend server had not ended.
+  5: bool cleared
+  6: i64 age_ms
+}
+
+struct crash_report {
+  1: list<backend_end> ends
+}
+
 struct mesh_frame {
   1: optional node_state state
   2: optional run_request run
@@ -173,4 +191,5 @@
   7: optional evidence report
   8: optional rollout_share share
   10: optional bool ping
+  11: optional crash_report crashes
 }
