Let a link between nodes end only after its decoding tasks

Cause: a worker's task in incoming::decode_aside() held the last reference to a connection, and destroyed the connection's socket and timer after the io_context had ended. Ruled out: a race inside oneTBB; the report names the timer service of the io_context.

--- a/src/libshell/peer_link.cpp
+++ b/src/libshell/peer_link.cpp
@@ -416,6 +416,8 @@
         peer->close();
     }
     peers.clear();
+    // A task that outlived the io_context would destroy the connection's socket and timer after it.
+    workers.wait();
 }
 
 peer_link::peer_link(asio::io_context& io, const node_settings& settings, event_sink& sink,
--- a/src/libshell/peer_link_test.cpp
+++ b/src/libshell/peer_link_test.cpp
@@ -114,6 +114,26 @@
     BOOST_TEST(order == (std::vector<std::int64_t>{1, large, 2}), boost::test_tools::per_element());
 }
 
+// A node may stop while a worker thread decodes a frame.
+BOOST_AUTO_TEST_CASE(no_decoding_outlasts_the_link)
+{
+    constexpr int stops = 20;
+    wire::config_full_message full;
+    // Fits into the socket buffers, so that the whole frame can be written before it is read.
+    full.resources.assign(10'000, "resource");
+    auto frame = ping_frame("test", protocol_version);
+    frame.__isset.ping = false;
+    frame.__set_config_full(full);
+    const auto bytes = encode_frame(frame);
+    for (int i = 0; i < stops; ++i) {
+        listening_node node;
+        test::raw_client client(node.io, node.settings.peer_port);
+        client.write(bytes);
+        BOOST_TEST_REQUIRE(
+            run_until(node.io, [&] { return node.link.traffic().frames_received == 1; }));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_unreachable_node_is_given_up_and_tried_again)
 {
     listening_node node;
