Reserve the ports of whole-program cases by locked blocks

Cause: each case chose ports below fixed numbers and only looked whether they were free; two cases, or two checkouts, that ran at once could choose the same one between the look and the node's start. Ruled out: ephemeral ports, which begin at 32768; a node that starts slowly (the wait is 20 s). Change: testsuite/common/ports.py locks a block of 100 ports for the life of the process; the mesh cases, the demo and the sidecar cases take theirs from it. Fixed first ports are gone.

--- a/testsuite/common/mesh.py
+++ b/testsuite/common/mesh.py
@@ -15,11 +15,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
-# Below the ephemeral port range, so that no outgoing connection occupies a listener's port.
-DEFAULT_FIRST_PORT = 18000
 PORTS_PER_NODE = 3
 # The platform listens on the first port of a mesh; the offsets of the other listeners follow.
-PORTS_PER_MESH = 100
 NODE_PORT_OFFSET = 1
 BACKEND_PORT_OFFSET = 50
 START_TIMEOUT_S = 20.0
@@ -41,7 +38,7 @@
 class Mesh:
     """The processes of a deployment. A context manager: stops all of them on exit."""
 
-    def __init__(self, build_dir, deployment_dir, out_dir, first_port=DEFAULT_FIRST_PORT):
+    def __init__(self, build_dir, deployment_dir, out_dir, first_port):
         self.bin_dir = pathlib.Path(build_dir).resolve() / "bin"
         folder = pathlib.Path(deployment_dir)
         self.deployment = json.loads((folder / "mesh.json").read_text())
--- a/testsuite/demo/run.py
+++ b/testsuite/demo/run.py
@@ -13,6 +13,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 import mesh as mesh_lib  # noqa: E402
+import ports  # noqa: E402
 import report as report_lib  # noqa: E402
 
 LOAD_DURATION_S = 66
@@ -198,7 +199,7 @@
     options = parser.parse_args()
     mesh_lib.exit_on_sigterm()
     with mesh_lib.Mesh(options.build, mesh_lib.ROOT / "examples" / options.mesh,
-                       options.out) as mesh:
+                       options.out, ports.reserve_block()[0]) as mesh:
         demo = Demo(mesh, options.mesh)
         demo.start()
         log(f"{CALLS_PER_S} calls/s for {LOAD_DURATION_S} s")
--- a/testsuite/run_case.py
+++ b/testsuite/run_case.py
@@ -13,6 +13,7 @@
 TESTSUITE_DIR = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(TESTSUITE_DIR / "common"))
 import mesh as mesh_lib  # noqa: E402
+import ports  # noqa: E402
 
 
 class CaseChecks:
@@ -48,14 +49,13 @@
     parser.add_argument("case")
     parser.add_argument("--build", required=True)
     parser.add_argument("--out", required=True)
-    parser.add_argument("--first-port", type=int, required=True)
     options = parser.parse_args()
     case = load_case(options.case)
     checks = CaseChecks()
     shutil.rmtree(options.out, ignore_errors=True)
     mesh_lib.exit_on_sigterm()
     with mesh_lib.Mesh(options.build, TESTSUITE_DIR / "common" / "small", options.out,
-                       options.first_port) as mesh:
+                       ports.reserve_block()[0]) as mesh:
         try:
             case.run(mesh, checks)
             checks.expect(not mesh.failed_processes(),
--- a/testsuite/sidecar/nodes.py
+++ b/testsuite/sidecar/nodes.py
@@ -1,41 +1,31 @@
 """Runs camphord nodes on the published protocol, each with a stand-in backend server."""
 import http.client
-import itertools
 import json
 import os
+import pathlib
 import signal
-import socket
 import subprocess
+import sys
 import time
 
 import standin
 
-STEP_TIMEOUT_S = 20  # Well above the duration of any step, so that only a failed step reaches it.
-
-
-# Each case has its own range below the ephemeral ports, so that a port found free stays free until
-# its node listens on it.
-CANDIDATE_PORTS = itertools.count(int(os.environ.get("CAMPHOR_FIRST_PORT", "21000")))
-
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
+import ports  # noqa: E402
 
-def is_free(port):
-    try:
-        socket.create_server(("127.0.0.1", port)).close()
-        return True
-    except OSError:
-        return False
+STEP_TIMEOUT_S = 20  # Well above the duration of any step, so that only a failed step reaches it.
 
 
 def free_ports(count):
-    return list(itertools.islice(filter(is_free, CANDIDATE_PORTS), count))
+    """Returns `count` adjacent ports that belong to this process alone."""
+    global _next_ports
+    if len(_next_ports) < count:
+        _next_ports = ports.reserve_block()
+    taken, _next_ports = _next_ports[:count], _next_ports[count:]
+    return list(taken)
 
 
-def free_port_pair():
-    """Returns the first of two adjacent free ports."""
-    first = free_ports(1)[0]
-    while not is_free(next(CANDIDATE_PORTS)):
-        first = free_ports(1)[0]
-    return first
+_next_ports = range(0)
 
 
 def boot_settings(name, service, app_port, listen_ports, store_port):
@@ -92,7 +82,7 @@
         """
         *listen_ports, self.app_port = free_ports(5)
         # Peers connect to the first port, the next one serves metrics.
-        self.peer_port = free_port_pair()
+        self.peer_port, _ = free_ports(2)
         self.inbound_port, self.outbound_port, self.ready_port, self.control_port = listen_ports
         self.service, self.instance, self.sequence, self.born = service, instance, 0, 1
         self.backend = backend or standin.Backend(instance)
