Answer every request before a stopping process exits; number requests across listeners

Cause: at the end of the grace period the process closed its connections 0.5 s after shutdown_complete whatever was unanswered, so that requests accepted early whose backend server then turned slow were cut without an answer, unsafe ones among them. And the client listeners numbered their requests each from 1 while sharing the map of unanswered requests: of two requests with one number, one got the other's answer. Ruled out: requests taken late in the grace. Change: 0.4 s after shutdown_complete the node is told that it exits: waiting runs of other nodes are refused (they can be placed elsewhere), and each of its own requests is answered 502, or 503 when it has not run. 0.1 s later the process ends. request_counter is shared by the client listeners. Tests: stopping_test: a_stopping_node_answers_what_it_cannot_finish fails in 3 of 3 cases without the event; http_listener_test: requests_of_two_listeners_get_their_own_answers (the counter is new; with two counters both requests are number 1). Answers of backend servers in the last 0.1 s of the grace are still lost.

--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -190,6 +190,9 @@
 /// The process received SIGTERM.
 struct shutdown_requested {};
 
+/// The process exits in a moment and can still write some answers.
+struct exit_imminent {};
+
 /// The operators changed the limits of the mesh.
 struct bounds_changed {
     mesh_bounds bounds;
@@ -200,7 +203,7 @@
                  backend_request_failed, backend_checked_in, backend_deregistered, link_opened,
                  link_closed, frame_arrived, config_read, rollout_order_read, rollout_status_read,
                  rollout_status_written, nodes_listed, rows_read, crashes_read, crashes_written,
-                 timer_tick, shutdown_requested, bounds_changed>;
+                 timer_tick, shutdown_requested, exit_imminent, bounds_changed>;
 
 // Effects.
 
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -135,6 +135,15 @@
     broadcast_state();
 }
 
+void node::handle(const exit_imminent&)
+{
+    // The other nodes can place these runs elsewhere.
+    refuse_queued_runs("stopping");
+    while (!calls_.empty()) {
+        give_up_call(calls_.begin()->first, "stopping");
+    }
+}
+
 void node::handle(const bounds_changed& input)
 {
     if (input.bounds.budget_window != settings_.bounds.budget_window) {
@@ -148,7 +157,7 @@
 void node::handle(const timer_tick&)
 {
     while (!call_deadlines_.empty() && call_deadlines_.begin()->first <= now_) {
-        on_call_deadline(call_deadlines_.begin()->second);
+        give_up_call(call_deadlines_.begin()->second, "deadline");
     }
     for (const auto run : queue_.expire(now_)) {
         finish_run(run, {mesh_wire::run_outcome::refused, nullptr, "deadline", {}}, false);
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -209,6 +209,7 @@
     void handle(const crashes_written& input);
     void handle(const timer_tick& input);
     void handle(const shutdown_requested& input);
+    void handle(const exit_imminent& input);
     void handle(const bounds_changed& input);
     void log(log_level level, std::string name, const std::string& request, log_fields fields);
     double random_fraction();
@@ -244,7 +245,8 @@
     void hedge_call(call_state& call);
     void fail_call(call_state& call, const std::string& reason);
     void refuse_call(call_state& call, const std::string& reason);
-    void on_call_deadline(call_id id);
+    /// Ends a call whose attempts, if any, can no longer be waited for.
+    void give_up_call(call_id id, const std::string& reason);
     void cancel_attempts(call_state& call);
     /// Age of the owner's last load report; zero for the local backend server.
     duration load_report_age(const node_id& owner) const;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -653,7 +653,7 @@
     end_call(call.call);
 }
 
-void node::on_call_deadline(call_id id)
+void node::give_up_call(call_id id, const std::string& reason)
 {
     auto& call = calls_.at(id);
     for (const auto& sent : call.attempts) {
@@ -663,7 +663,7 @@
             sent.owner == settings_.node && run != runs_.end() && !run->second.sent;
         call.may_have_run = call.may_have_run || !waits_here;
     }
-    fail_call(call, "deadline");
+    fail_call(call, reason);
 }
 
 duration node::load_report_age(const node_id& owner) const
--- a/src/libmesh/stopping_test.cpp
+++ b/src/libmesh/stopping_test.cpp
@@ -89,3 +89,62 @@
     // No request that ran may be left unanswered when the process exits.
     BOOST_TEST(net.unanswered_runs(0) == 0);
 }
+
+namespace {
+
+struct cut_short_case {
+    const char* name;
+    bool safe;
+    /// The requests wait in the queue of another node's backend server instead of running.
+    bool queued;
+};
+
+std::ostream& operator<<(std::ostream& out, const cut_short_case& scenario)
+{
+    return out << scenario.name;
+}
+
+const std::vector<cut_short_case> cut_short_cases{
+    {"safe requests that run", true, false},
+    {"unsafe requests that run", false, false},
+    {"unsafe requests that run or wait", false, true},
+};
+
+} // namespace
+
+// The backend servers turn so slow that requests accepted in time outlast the stop.
+BOOST_DATA_TEST_CASE(a_stopping_node_answers_what_it_cannot_finish,
+                     boost::unit_test::data::make(cut_short_cases), scenario)
+{
+    constexpr auto patience = 30s;
+    simulated_mesh net(node_count);
+    net.configure(scenario.safe, patience, patience);
+    for (std::size_t i = 0; i < node_count; ++i) {
+        net.app(i).slots = scenario.queued ? 1 : 40;
+        net.check_in(i);
+    }
+    for (std::size_t i = 0; i < 2 * node_count; ++i) {
+        net.send(i % node_count, "before" + std::to_string(i), patience);
+        net.run_for(200ms);
+    }
+    net.results().clear();
+    for (std::size_t i = 0; i < node_count; ++i) {
+        net.app(i).work = 20s;
+    }
+    net.stop(0);
+    constexpr int request_count = 20;
+    for (int i = 0; i < request_count; ++i) {
+        net.send(0, "c" + std::to_string(i), patience);
+        net.run_for(10ms);
+    }
+    net.run_for(mesh_bounds{}.grace_period);
+    BOOST_REQUIRE(net.is_dead(0));
+    BOOST_TEST(net.results().size() == static_cast<std::size_t>(request_count));
+    for (const auto& [id, result] : net.results()) {
+        BOOST_TEST_CONTEXT(id << " got " << result.status)
+        {
+            // Only a request that has not run may be told so.
+            BOOST_TEST((result.status == 502 || (result.status == 503 && net.run_count(id) == 0)));
+        }
+    }
+}
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -676,7 +676,10 @@
 
     void perform(host& from, const shutdown_complete&)
     {
-        schedule(exit_delay, [this, &from] { kill_host(from); });
+        schedule(exit_delay, [this, &from] {
+            feed(from, exit_imminent{});
+            kill_host(from);
+        });
     }
 
     void perform(host& from, const send_to_peer& command)
--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -49,9 +49,9 @@
 }
 
 http_connection::http_connection(tcp::socket socket, const http_handlers& handlers,
-                                 http_limits limits, std::uint64_t& last_request_number)
+                                 http_limits limits, request_counter& request_numbers)
     : socket_(std::move(socket)), timer_(socket_.get_executor()), handlers_(handlers),
-      limits_(limits), last_request_number_(last_request_number),
+      limits_(limits), request_numbers_(request_numbers),
       input_(limits.header_bytes + framing_allowance_bytes)
 {
 }
@@ -144,7 +144,7 @@
     auto request = parser_->release();
     parser_.reset();
     pending_request next;
-    next.request_number = ++last_request_number_;
+    next.request_number = request_numbers_.next();
     next.keep_alive = request.keep_alive();
     next.is_head = request.method() == http::verb::head;
     closing_ = closing_ || !next.keep_alive;
@@ -162,7 +162,7 @@
 void http_connection::refuse(int status, const std::string& reason)
 {
     pending_request next;
-    next.request_number = ++last_request_number_;
+    next.request_number = request_numbers_.next();
     next.keep_alive = false;
     http_reply reply;
     reply.status = status;
@@ -287,8 +287,9 @@
 }
 
 http_listener::http_listener(asio::io_context& io, const std::string& host, std::uint16_t port,
-                             http_handlers handlers)
-    : acceptor_(io), handlers_(std::move(handlers))
+                             http_handlers handlers,
+                             std::shared_ptr<request_counter> request_numbers)
+    : acceptor_(io), handlers_(std::move(handlers)), request_numbers_(std::move(request_numbers))
 {
     const tcp::endpoint endpoint(asio::ip::make_address(host), port);
     acceptor_.open(endpoint.protocol());
@@ -310,8 +311,8 @@
                     return weak_connection.expired();
                 });
             }
-            const auto connection = std::make_shared<http_connection>(
-                std::move(socket), handlers_, limits_, last_request_number_);
+            const auto connection = std::make_shared<http_connection>(std::move(socket), handlers_,
+                                                                      limits_, *request_numbers_);
             connections_.push_back(connection);
             connection->start();
         }
--- a/src/libsidecar/http_listener.h
+++ b/src/libsidecar/http_listener.h
@@ -54,11 +54,21 @@
     bool close = false;
 };
 
+/// Numbers requests. Listeners whose requests one handler receives share it, so that an answer
+/// cannot go to another request with the same number.
+class request_counter {
+public:
+    std::uint64_t next() { return ++last_; }
+
+private:
+    std::uint64_t last_ = 0;
+};
+
 /// A client connection. Invariant: answers are sent in the order in which the requests arrived.
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
     http_connection(boost::asio::ip::tcp::socket socket, const http_handlers& handlers,
-                    http_limits limits, std::uint64_t& last_request_number);
+                    http_limits limits, request_counter& request_numbers);
 
     void start();
     /// Answers a request. Does nothing if the connection is closed.
@@ -90,8 +100,7 @@
     boost::asio::steady_timer timer_;
     const http_handlers& handlers_;
     http_limits limits_;
-    /// Shared by all connections of a listener, so that request numbers are unique within it.
-    std::uint64_t& last_request_number_;
+    request_counter& request_numbers_;
     boost::beast::flat_buffer input_;
     std::optional<parser> parser_;
     std::deque<pending_request> pending_;
@@ -106,8 +115,10 @@
 class http_listener {
 public:
     /// @throws boost::system::system_error if the address cannot be listened on
-    http_listener(boost::asio::io_context& io, const std::string& host, std::uint16_t port,
-                  http_handlers handlers);
+    http_listener(
+        boost::asio::io_context& io, const std::string& host, std::uint16_t port,
+        http_handlers handlers,
+        std::shared_ptr<request_counter> request_numbers = std::make_shared<request_counter>());
 
     /// Applies to connections accepted from now on.
     void set_limits(http_limits limits) { limits_ = limits; }
@@ -123,7 +134,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     http_handlers handlers_;
     http_limits limits_;
-    std::uint64_t last_request_number_ = 0;
+    std::shared_ptr<request_counter> request_numbers_;
     std::deque<std::weak_ptr<http_connection>> connections_;
 };
 
--- a/src/libsidecar/http_listener_test.cpp
+++ b/src/libsidecar/http_listener_test.cpp
@@ -8,7 +8,10 @@
 #include "libshell/test_io.h"
 #include "libsidecar/http_listener.h"
 
+#include <map>
+#include <memory>
 #include <ostream>
+#include <utility>
 #include <vector>
 
 namespace camphor::sidecar {
@@ -84,4 +87,34 @@
     BOOST_TEST(requests == 0);
 }
 
+BOOST_AUTO_TEST_CASE(requests_of_two_listeners_get_their_own_answers)
+{
+    asio::io_context io{1};
+    std::map<std::uint64_t, std::pair<std::shared_ptr<http_connection>, std::string>> unanswered;
+    http_handlers handlers;
+    handlers.on_request = [&](const auto& from, std::uint64_t number, http_request&& request) {
+        unanswered.emplace(number, std::make_pair(from, std::string(request.target())));
+    };
+    const auto numbers = std::make_shared<request_counter>();
+    const auto first_port = shell::test::free_port();
+    http_listener first(io, "127.0.0.1", first_port, handlers, numbers);
+    const auto second_port = shell::test::free_port();
+    http_listener second(io, "127.0.0.1", second_port, handlers, numbers);
+    shell::test::raw_client first_client(io, first_port);
+    shell::test::raw_client second_client(io, second_port);
+    first_client.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    second_client.write("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST_REQUIRE(shell::test::run_until(io, [&] { return unanswered.size() == 2; }));
+    for (const auto& [number, request] : unanswered) {
+        http_reply reply;
+        reply.body = request.second;
+        request.first->respond(number, std::move(reply));
+    }
+    const auto has = [](const shell::test::raw_client& client, const char* text) {
+        return client.received().find(text) != std::string::npos;
+    };
+    BOOST_TEST(shell::test::run_until(
+        io, [&] { return has(first_client, "/first") && has(second_client, "/second"); }));
+}
+
 } // namespace camphor::sidecar
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -31,8 +31,10 @@
 
 /// How long a stopping process waits for client connections with unanswered requests, and how often
 /// it checks for them. Lies within the part of the grace period that mesh::node leaves unused.
-constexpr auto connection_drain_timeout = 500ms;
+constexpr auto connection_drain_timeout = 400ms;
 constexpr auto drain_check_interval = 100ms;
+/// How long a stopping process still writes the answers to the requests that it gave up at the end.
+constexpr auto last_answers_timeout = 100ms;
 /// A timer this late indicates that the process was suspended or starved of CPU time. Peers are
 /// checked every 200 ms.
 constexpr auto timer_delay_threshold = 250ms;
@@ -83,8 +85,10 @@
           io_, settings_.store, node_.record(), mesh::max_read_wait(settings_.bounds),
           [this](mesh::event event) { post(std::move(event)); },
           [this](const mesh::log_line& line) { write_log(line); }, std::random_device{}()),
-      outbound_(io_, settings_.outbound.host, settings_.outbound.port, outbound_handlers()),
-      inbound_(io_, settings_.inbound.host, settings_.inbound.port, outbound_handlers()),
+      outbound_(io_, settings_.outbound.host, settings_.outbound.port, outbound_handlers(),
+                client_request_numbers_),
+      inbound_(io_, settings_.inbound.host, settings_.inbound.port, outbound_handlers(),
+               client_request_numbers_),
       ready_(io_, settings_.ready.host, settings_.ready.port, ready_handlers()),
       control_(io_, settings_.control.host, settings_.control.port, control_handlers()),
       metrics_(io_, settings_.metrics.host, settings_.metrics.port, metrics_handlers()),
@@ -367,6 +371,11 @@
     exit_when_drained(std::chrono::steady_clock::now() + connection_drain_timeout);
 }
 
+bool sidecar::is_drained() const
+{
+    return outbound_.connection_count() == 0 && inbound_.connection_count() == 0;
+}
+
 void sidecar::exit_when_drained(std::chrono::steady_clock::time_point deadline)
 {
     // Requests already received are still answered; each connection closes after its last answer.
@@ -375,21 +384,31 @@
     timer_.async_wait([this, deadline](error_code) {
         outbound_.close_idle();
         inbound_.close_idle();
-        const bool drained = outbound_.connection_count() == 0 && inbound_.connection_count() == 0;
-        if (!drained && std::chrono::steady_clock::now() < deadline) {
+        if (is_drained()) {
+            exit_now();
+            return;
+        }
+        if (std::chrono::steady_clock::now() < deadline) {
             exit_when_drained(deadline);
             return;
         }
-        write_log({drained ? log_level::info : log_level::warning,
-                   "node.connections_closed",
-                   "",
-                   {{"outbound", std::to_string(outbound_.connection_count())},
-                    {"inbound", std::to_string(inbound_.connection_count())}}});
-        peers_.close_all();
-        io_.stop();
+        post(mesh::exit_imminent{});
+        timer_.expires_after(last_answers_timeout);
+        timer_.async_wait([this](error_code) { exit_now(); });
     });
 }
 
+void sidecar::exit_now()
+{
+    write_log({is_drained() ? log_level::info : log_level::warning,
+               "node.connections_closed",
+               "",
+               {{"outbound", std::to_string(outbound_.connection_count())},
+                {"inbound", std::to_string(inbound_.connection_count())}}});
+    peers_.close_all();
+    io_.stop();
+}
+
 void sidecar::write_log(const mesh::log_line& line)
 {
     const auto now = std::chrono::steady_clock::now();
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -60,6 +60,8 @@
     /// Closes the listeners and exits once their connections are closed.
     void stop();
     void exit_when_drained(std::chrono::steady_clock::time_point deadline);
+    bool is_drained() const;
+    void exit_now();
     void write_log(const mesh::log_line& line);
     std::string render_metrics() const;
 
@@ -86,6 +88,7 @@
     app_client app_;
     peer_links peers_;
     store_follower store_;
+    std::shared_ptr<request_counter> client_request_numbers_ = std::make_shared<request_counter>();
     http_listener outbound_;
     http_listener inbound_;
     http_listener ready_;
