Give up a zone that is cut off as a whole

Ruled out: retry budget (spent, but repeats of requests that never arrived do not help the first ones); hangs of live nodes (their zone is heard). Change: when a node owes an answer for 150 ms and its zone is silent, a second node of it is pinged; when nothing came from the zone for 400 ms and two of its nodes owe, all of it gets no requests until something arrives.

--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -167,6 +167,7 @@
     elect_zone_reader();
     send_zone_keepalive();
     ping_unresponsive_peers();
+    detect_silent_zones();
     hedge_overdue_calls();
     pull_config_if_behind();
     answer_pulls();
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -332,6 +332,9 @@
     /// Pings the nodes that have not answered a request for a while.
     void ping_unresponsive_peers();
     bool is_unresponsive(const peer& remote) const;
+    /// Finds the zones from which nothing arrives though several of their nodes owe an answer: they
+    /// are probably cut off, so that the other nodes there need not be tried one by one.
+    void detect_silent_zones();
     /// Sends a keep-alive to the zone while this node reads the store for it.
     void send_zone_keepalive();
     bool in_own_zone(const peer& remote) const
@@ -410,6 +413,8 @@
     double failure_ratio_ = 0;
 
     directory peers_;
+    /// Zones found by detect_silent_zones().
+    std::set<zone_id> silent_zones_;
     std::map<link_id, link_state> links_;
     std::int64_t revision_ = 0;
     bool store_fresh_ = false;
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -43,6 +43,11 @@
 /// A node that has owed an answer for this long receives no new requests: it may be partitioned,
 /// with its connections hanging. Longer than two times idle_poll_interval of node.cpp.
 constexpr auto unresponsive_after = 600ms;
+/// A zone is silent when nothing has arrived from it for this long and at least `min_owing_nodes`
+/// of its nodes owe an answer for longer than ping_after. Longer than ping_after plus one
+/// idle_poll_interval, so that a ping has been answered by then if the zone is reachable.
+constexpr auto zone_silence_after = 400ms;
+constexpr int min_owing_nodes = 2;
 /// A new roll-out leader raises no share before this delay has passed: connections open within
 /// some hundred milliseconds, and owners report every 200 ms.
 constexpr auto leader_takeover_delay = 1s;
@@ -776,7 +781,53 @@
 
 bool node::is_unresponsive(const peer& remote) const
 {
-    return remote.unanswered_since && now_ - *remote.unanswered_since > unresponsive_after;
+    return (remote.unanswered_since && now_ - *remote.unanswered_since > unresponsive_after) ||
+           silent_zones_.contains(zone_id{remote.record.zone});
+}
+
+void node::detect_silent_zones()
+{
+    struct zone_silence {
+        time_point last_heard{};
+        int owing = 0;
+        /// A node that owes no answer, to be asked as well.
+        peer* unasked = nullptr;
+    };
+    std::map<zone_id, zone_silence> zones;
+    for (auto& [name, remote] : peers_.all()) {
+        if (!remote.link || in_own_zone(remote)) {
+            continue;
+        }
+        auto& zone = zones[zone_id{remote.record.zone}];
+        zone.last_heard = std::max(zone.last_heard, remote.heard_at);
+        if (!remote.unanswered_since) {
+            zone.unasked = &remote;
+        } else if (now_ - *remote.unanswered_since > ping_after) {
+            ++zone.owing;
+        }
+    }
+    std::set<zone_id> silent;
+    for (auto& [name, zone] : zones) {
+        const auto silence = now_ - zone.last_heard;
+        const bool was_silent = silent_zones_.contains(name);
+        const bool is_silent =
+            silence > zone_silence_after && (was_silent || zone.owing >= min_owing_nodes);
+        if (is_silent) {
+            silent.insert(name);
+        } else if (zone.owing > 0 && silence > ping_after && zone.unasked != nullptr) {
+            zone.unasked->unanswered_since = now_;
+            mesh_wire::mesh_frame frame;
+            frame.__set_ping(true);
+            send_frame(*zone.unasked->link, std::move(frame));
+        }
+        if (is_silent != was_silent) {
+            log(log_level::warning, is_silent ? "zone.silent" : "zone.heard", "",
+                {{"of", name.value()},
+                 {"silent_ms", format_ms(silence)},
+                 {"owing", std::to_string(zone.owing)}});
+        }
+    }
+    silent_zones_ = std::move(silent);
 }
 
 void node::pull_config_if_behind()
