Let a paused roll-out leader wait for the store before it leads again

Cause: a node that stood still for seconds continued as the leader it had been: its first timer repeated the shares of running roll-outs and could decide, while another node had led since. Ruled out: two outcomes in the status row (written under the version that was read, lease_test and this test). Change: a gap of more than 1 s between two steps, or a suspension of the machine (CLOCK_BOOTTIME against the steady clock), ends the contact with the store until it answers again; until then the node neither leads nor reads for its zone, and it raises no share for a second after. Logged as node.resumed.

--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -187,6 +187,11 @@
 
 struct timer_tick {};
 
+/// The machine was suspended for `gap`, which the steady clock did not count.
+struct machine_resumed {
+    duration gap{};
+};
+
 /// The process received SIGTERM.
 struct shutdown_requested {};
 
@@ -203,7 +208,7 @@
                  backend_request_failed, backend_checked_in, backend_deregistered, link_opened,
                  link_closed, frame_arrived, config_read, rollout_order_read, rollout_status_read,
                  rollout_status_written, nodes_listed, rows_read, crashes_read, crashes_written,
-                 timer_tick, shutdown_requested, exit_imminent, bounds_changed>;
+                 timer_tick, machine_resumed, shutdown_requested, exit_imminent, bounds_changed>;
 
 // Effects.
 
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -14,6 +14,9 @@
 constexpr auto queue_poll_interval = 25ms;
 /// Longest time between two steps otherwise: peers, dials and periodic reports.
 constexpr auto idle_poll_interval = 200ms;
+/// A gap between two steps that shows that the process stood still. Other nodes take over the
+/// duties of a silent node after 1.2 s at the earliest (zone_reader_timeout).
+constexpr auto pause_threshold = 1s;
 /// One in this many periodic reports also goes to the other zones. This suffices, because changes
 /// are sent to all nodes at once and answers carry the node's load.
 constexpr std::uint64_t reports_per_cross_zone_report = 4;
@@ -38,7 +41,11 @@
 
 effect_list node::step(const event& input, time_point now)
 {
+    const auto gap = now_ == time_point{} ? duration{} : now - now_;
     now_ = std::max(now, now_);
+    if (gap > pause_threshold) {
+        resume_after_pause(gap);
+    }
     std::visit([this](const auto& data) { handle(data); }, input);
     start_queued_runs();
     announce_free_slots();
@@ -135,6 +142,21 @@
     broadcast_state();
 }
 
+void node::handle(const machine_resumed& input)
+{
+    resume_after_pause(input.gap);
+}
+
+void node::resume_after_pause(duration gap)
+{
+    log(log_level::warning, "node.resumed", "",
+        {{"paused_ms", format_ms(gap)}, {"in_contact", store_fresh_ ? "true" : "false"}});
+    leader_since_ = now_;
+    if (std::exchange(store_fresh_, false)) {
+        broadcast_state();
+    }
+}
+
 void node::handle(const exit_imminent&)
 {
     // The other nodes can place these runs elsewhere.
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -209,7 +209,11 @@
     void handle(const crashes_written& input);
     void handle(const timer_tick& input);
     void handle(const shutdown_requested& input);
+    void handle(const machine_resumed& input);
     void handle(const exit_imminent& input);
+    /// Gives up what other nodes may have taken over during a pause of `gap`, until the store has
+    /// answered again: leading roll-outs and reading the store for the zone.
+    void resume_after_pause(duration gap);
     void handle(const bounds_changed& input);
     void log(log_level level, std::string name, const std::string& request, log_fields fields);
     double random_fraction();
--- a/src/libmesh/rollout_handover_test.cpp
+++ b/src/libmesh/rollout_handover_test.cpp
@@ -171,3 +171,51 @@
     BOOST_TEST((net.statuses().back().phase == rollout_phase::rolled_back));
     BOOST_TEST(arrivals(net) <= sent / exposure_divisor + exposure_slack);
 }
+
+namespace {
+
+struct pause_case {
+    const char* name;
+    /// The machine is suspended, so that the steady clock stands still too.
+    bool suspended;
+};
+
+std::ostream& operator<<(std::ostream& out, const pause_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<pause_case> pause_cases{{"the process stands still", false},
+                                          {"the machine is suspended", true}};
+
+} // namespace
+
+// During the pause another node leads. The first step after it must not act on the old lead.
+BOOST_DATA_TEST_CASE(a_paused_leader_gives_no_orders_when_it_resumes,
+                     boost::unit_test::data::make(pause_cases), sample)
+{
+    constexpr auto pause = 4s;
+    simulated_mesh net(node_count);
+    net.configure(true, 1000ms, 400ms);
+    for (std::size_t i = 0; i < node_count; ++i) {
+        net.app(i).slots = 6;
+        net.app(i).release = release_id{i >= first_new_node ? "v2" : "v1"};
+        net.app(i).work = 60ms;
+        net.check_in(i);
+    }
+    net.order_rollout("v2", rollout_duration);
+    net.run_for(2s);
+    BOOST_REQUIRE(net.share_frames(0) > 0);
+    net.pause(0);
+    net.run_for(pause);
+    const int before = net.share_frames(0);
+    const auto statuses = net.statuses().size();
+    net.resume(0, sample.suspended ? std::optional<duration>(pause) : std::nullopt);
+    BOOST_TEST(net.share_frames(0) == before);
+    BOOST_TEST(net.statuses().size() == statuses);
+    net.handle_deferred(0);
+    net.run_for(20s);
+    // It takes the lead again once the store has answered, and the roll-out has one outcome.
+    BOOST_TEST((net.statuses().back().phase != rollout_phase::running));
+    BOOST_TEST(net.statuses().size() == 2U);
+}
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -293,6 +293,31 @@
         schedule(span, std::move(callback));
     }
 
+    /// The node's process stands still: what happens to it meanwhile is handled at resume().
+    void pause(std::size_t i) { hosts_.at(i)->paused = true; }
+    /// Continues with a timer, which is handled before what has arrived. The steady clock may have
+    /// stood still too, as on a suspended machine.
+    void resume(std::size_t i, const std::optional<duration>& suspended = std::nullopt)
+    {
+        auto& resumed = *hosts_.at(i);
+        resumed.paused = false;
+        if (suspended) {
+            resumed.clock_lag += *suspended;
+            feed(resumed, machine_resumed{*suspended});
+        }
+        feed(resumed, timer_tick{});
+    }
+    /// Handles what arrived during the pause.
+    void handle_deferred(std::size_t i)
+    {
+        auto& resumed = *hosts_.at(i);
+        for (const auto& input : std::exchange(resumed.deferred, {})) {
+            feed(resumed, input);
+        }
+    }
+    /// Number of frames with the share of a running roll-out that the node sent.
+    int share_frames(std::size_t i) const { return hosts_.at(i)->share_frames; }
+
     void stop(std::size_t i) { feed(*hosts_.at(i), shutdown_requested{}); }
 
     void order_rollout(const std::string& release, milliseconds within)
@@ -328,6 +353,11 @@
         node core;
         simulated_backend app;
         std::map<call_id, client> clients;
+        bool paused = false;
+        std::vector<event> deferred;
+        /// Time for which the machine was suspended.
+        duration clock_lag{};
+        int share_frames = 0;
         std::set<run_id> running_runs;
         bool is_partitioned = false;
         bool dead = false;
@@ -421,7 +451,13 @@
         if (this_host.dead) {
             return;
         }
-        for (const auto& entry : this_host.core.step(input, now_)) {
+        if (this_host.paused) {
+            if (!std::holds_alternative<timer_tick>(input)) {
+                this_host.deferred.push_back(input);
+            }
+            return;
+        }
+        for (const auto& entry : this_host.core.step(input, now_ - this_host.clock_lag)) {
             std::visit([&](const auto& command) { perform(this_host, command); }, entry);
         }
     }
@@ -684,6 +720,7 @@
 
     void perform(host& from, const send_to_peer& command)
     {
+        from.share_frames += command.frame.__isset.share && command.frame.share.phase == 0 ? 1 : 0;
         for (const auto& [key, entry] : links_) {
             const bool forward = entry.local_id == command.link && entry.from == &from;
             const bool backward = entry.remote_id == command.link && entry.to == &from;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -17,6 +17,7 @@
 
 #include <charconv>
 #include <csignal>
+#include <ctime>
 #include <iostream>
 #include <random>
 
@@ -35,6 +36,9 @@
 constexpr auto drain_check_interval = 100ms;
 /// How long a stopping process still writes the answers to the requests that it gave up at the end.
 constexpr auto last_answers_timeout = 100ms;
+/// A suspension longer than this is reported to the node; other nodes take over its duties after
+/// 1.2 s.
+constexpr auto suspension_threshold = 1s;
 /// A timer this late indicates that the process was suspended or starved of CPU time. Peers are
 /// checked every 200 ms.
 constexpr auto timer_delay_threshold = 250ms;
@@ -44,6 +48,15 @@
     return time_point(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+/// Time since the machine started, including the time for which it was suspended.
+duration time_with_suspensions()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) +
+                                                std::chrono::nanoseconds(time.tv_nsec));
+}
+
 std::int64_t boot_time_ms()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -98,7 +111,7 @@
           [this](const std::string& problem) {
               write_log({log_level::error, "node.bad_settings", "", {{"reason", problem}}});
           }),
-      timer_(io_)
+      timer_(io_), suspended_time_(time_with_suspensions() - monotonic_now().time_since_epoch())
 {
 }
 
@@ -221,11 +234,21 @@
         if (!error) {
             log_late_timer(monotonic_now() - timer_due_);
             timer_due_ = {};
+            detect_suspension();
             post(mesh::timer_tick{});
         }
     });
 }
 
+void sidecar::detect_suspension()
+{
+    const auto suspended = time_with_suspensions() - monotonic_now().time_since_epoch();
+    const auto gap = suspended - std::exchange(suspended_time_, suspended);
+    if (gap > suspension_threshold) {
+        post(mesh::machine_resumed{gap});
+    }
+}
+
 void sidecar::log_late_timer(duration delay)
 {
     if (delay > timer_delay_threshold) {
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -50,6 +50,8 @@
     void arm_timer();
     /// Logs a timer that fired later than the threshold.
     void log_late_timer(duration delay);
+    /// Reports to the node that the machine was suspended since the last call.
+    void detect_suspension();
     void on_client_request(const std::shared_ptr<http_connection>& from,
                            std::uint64_t request_number, http_request&& request);
     void on_check_in(const std::shared_ptr<http_connection>& from, std::uint64_t request_number,
@@ -97,6 +99,8 @@
     boost::asio::signal_set signals_;
     settings_watch settings_watch_;
     boost::asio::steady_timer timer_;
+    /// Time for which the machine had been suspended since its start, when last looked at.
+    duration suspended_time_;
     /// Client connections of the unanswered requests, by request number.
     std::unordered_map<std::uint64_t, std::weak_ptr<http_connection>> connections_by_request_;
     std::deque<mesh::event> events_;
