Tell a restarted node which of its backend servers left

Cause: a node remembers in its process alone who deregistered or drained. After a restart a check-in that had been delayed brought the backend server back, and requests were sent to it. Ruled out: the other nodes' copies (they learn the state from the restarted node and follow it); the store (it has no row for backend servers). Change: each node keeps who left another node for the drain timeout and the grace period, also over that node's restarts, and tells it when it connects (optional field 13 of mesh_frame). The start is kept too, so that a later start under the same id is taken. Left: the first hundredths of a second after a start, and a restart of all nodes at once.

--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -269,6 +269,8 @@
     void cancel_run(const run_origin& origin);
     void start_queued_runs();
     bool is_stale_check_in(const backend_checked_in& input);
+    /// How long a delayed check-in of a backend server that left may arrive.
+    duration departure_memory() const;
     void update_failure_ratio(bool failed);
     void log_broken_run(const run_state& run, const std::string& reason);
     void record_release_result(const run_state& run, bool good);
@@ -310,6 +312,9 @@
     void broadcast_state(audience to = audience::all);
     void on_node_state(link_id link, const mesh_wire::node_state& state);
     void on_rollout_share(link_id link, const mesh_wire::rollout_share& share);
+    /// Tells the node which of its backend servers left before it may have restarted.
+    void send_departures(link_id link, peer& to);
+    void on_departures(const std::vector<mesh_wire::departed_backend>& departed);
     void on_run_answer(link_id link, const mesh_wire::run_answer& frame);
     void on_rows_push(link_id link, const mesh_wire::rows_push& frame);
     void on_rows_pull(link_id link);
@@ -393,7 +398,7 @@
     std::int64_t last_check_in_sequence_ = 0;
     /// Backend servers that deregistered from this node since its start, and when. Guards against
     /// a delayed check-in that would register one again.
-    std::map<backend_id, time_point> departed_backends_;
+    std::map<backend_id, departure> departed_backends_;
     /// Runs that ended without an answer and after which the backend server has answered no other
     /// run.
     std::vector<lost_run> lost_runs_;
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace camphor::mesh {
 
@@ -355,15 +356,18 @@
 }
 
 bool node::is_stale_check_in(const backend_checked_in& input)
+{
+    std::erase_if(departed_backends_,
+                  [&](const auto& entry) { return now_ - entry.second.at > departure_memory(); });
+    const auto departed = departed_backends_.find(input.id);
+    return departed != departed_backends_.end() && input.born <= departed->second.born;
+}
+
+duration node::departure_memory() const
 {
     // A backend server that left still serves for the drain timeout, and its delayed messages may
     // arrive for seconds after that. A new start under the same id comes later.
-    const auto remembered_for = settings_.bounds.drain_timeout + settings_.bounds.grace_period;
-    std::erase_if(departed_backends_,
-                  [&](const auto& entry) { return now_ - entry.second > remembered_for; });
-    const bool is_later_start =
-        own_backend_ && own_backend_->id == input.id && input.born > own_backend_->born;
-    return departed_backends_.contains(input.id) && !is_later_start;
+    return settings_.bounds.drain_timeout + settings_.bounds.grace_period;
 }
 
 void node::handle(const backend_checked_in& input)
@@ -423,8 +427,10 @@
 
 void node::handle(const backend_deregistered& input)
 {
-    departed_backends_[input.id] = now_;
-    if (own_backend_ && own_backend_->id == input.id) {
+    const bool is_known = own_backend_ && own_backend_->id == input.id;
+    departed_backends_[input.id] = {
+        is_known ? own_backend_->born : std::numeric_limits<std::int64_t>::max(), now_};
+    if (is_known) {
         retire_backend(backend_state::gone, "it has deregistered");
     }
 }
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -157,6 +157,7 @@
     remote->failed_dials = 0;
     remote->lost_at.reset();
     send_frame(input.link, make_state_frame());
+    send_departures(input.link, *remote);
     for (const auto& share : rollouts_.shares(now_)) {
         mesh_wire::mesh_frame frame;
         frame.__set_share(share);
@@ -326,12 +327,51 @@
             update_peer_load(*from, frame.load, nullptr);
         }
     }
+    if (frame.__isset.departed) {
+        on_departures(frame.departed);
+    }
     if (frame.__isset.report) {
         const auto* from = known->second.peer ? peers_.find(*known->second.peer) : nullptr;
         rollouts_.on_evidence(frame.report, zone_id{from == nullptr ? "" : from->record.zone});
     }
 }
 
+void node::send_departures(link_id link, peer& to)
+{
+    std::erase_if(to.departed, [this](const auto& entry) {
+        return now_ - entry.second.at > departure_memory();
+    });
+    if (to.departed.empty()) {
+        return;
+    }
+    std::vector<mesh_wire::departed_backend> departed;
+    for (const auto& [id, left] : to.departed) {
+        mesh_wire::departed_backend entry;
+        entry.__set_id(id.value());
+        entry.__set_born(left.born);
+        entry.__set_age_ms((now_ - left.at) / milliseconds(1));
+        departed.push_back(std::move(entry));
+    }
+    mesh_wire::mesh_frame frame;
+    frame.__set_departed(departed);
+    send_frame(link, std::move(frame));
+}
+
+void node::on_departures(const std::vector<mesh_wire::departed_backend>& departed)
+{
+    for (const auto& entry : departed) {
+        const backend_id id{entry.id};
+        const auto age = std::clamp<duration>(milliseconds(entry.age_ms), {}, departure_memory());
+        auto& left = departed_backends_.try_emplace(id).first->second;
+        if (left.born < entry.born) {
+            left = {entry.born, now_ - age};
+        }
+        if (own_backend_ && own_backend_->id == id && own_backend_->born <= entry.born) {
+            retire_backend(backend_state::gone, "it left before this process started");
+        }
+    }
+}
+
 void node::on_rollout_share(link_id link, const mesh_wire::rollout_share& share)
 {
     if (!rollouts_.on_share(share, now_)) {
@@ -494,6 +534,12 @@
             from.load = {};
         }
         from.app = reported;
+        if (reported.state == backend_state::draining || reported.state == backend_state::gone) {
+            auto& left = from.departed.try_emplace(reported.id).first->second;
+            if (left.born < reported.born) {
+                left = {reported.born, now_};
+            }
+        }
     } else {
         from.app.reset();
     }
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -3325,6 +3325,151 @@
 }
 
 
+departed_backend::~departed_backend() noexcept {
+}
+
+
+void departed_backend::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void departed_backend::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void departed_backend::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const departed_backend& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t departed_backend::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t departed_backend::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("departed_backend");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(departed_backend &a, departed_backend &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.born, b.born);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+departed_backend::departed_backend(const departed_backend& other101) {
+  id = other101.id;
+  born = other101.born;
+  age_ms = other101.age_ms;
+  __isset = other101.__isset;
+}
+departed_backend::departed_backend(departed_backend&& other102) noexcept {
+  id = std::move(other102.id);
+  born = other102.born;
+  age_ms = other102.age_ms;
+  __isset = other102.__isset;
+}
+departed_backend& departed_backend::operator=(const departed_backend& other103) {
+  id = other103.id;
+  born = other103.born;
+  age_ms = other103.age_ms;
+  __isset = other103.__isset;
+  return *this;
+}
+departed_backend& departed_backend::operator=(departed_backend&& other104) noexcept {
+  id = std::move(other104.id);
+  born = other104.born;
+  age_ms = other104.age_ms;
+  __isset = other104.__isset;
+  return *this;
+}
+void departed_backend::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "departed_backend(";
+  out << "id=" << to_string(id);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 mesh_frame::~mesh_frame() noexcept {
 }
 
@@ -3383,6 +3528,11 @@
   this->load = val;
 __isset.load = true;
 }
+
+void mesh_frame::__set_departed(const std::vector<departed_backend> & val) {
+  this->departed = val;
+__isset.departed = true;
+}
 std::ostream& operator<<(std::ostream& out, const mesh_frame& obj)
 {
   obj.printTo(out);
@@ -3499,6 +3649,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departed.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->departed.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              xfer += this->departed[_i109].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3571,6 +3741,19 @@
     xfer += this->load.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.departed) {
+    xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 13);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
+      std::vector<departed_backend> ::const_iterator _iter110;
+      for (_iter110 = this->departed.begin(); _iter110 != this->departed.end(); ++_iter110)
+      {
+        xfer += (*_iter110).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3589,65 +3772,70 @@
   swap(a.ping, b.ping);
   swap(a.crashes, b.crashes);
   swap(a.load, b.load);
+  swap(a.departed, b.departed);
   swap(a.__isset, b.__isset);
 }
 
-mesh_frame::mesh_frame(const mesh_frame& other101) {
-  state = other101.state;
-  run = other101.run;
-  answer = other101.answer;
-  cancel = other101.cancel;
-  rows = other101.rows;
-  pull = other101.pull;
-  report = other101.report;
-  share = other101.share;
-  ping = other101.ping;
-  crashes = other101.crashes;
-  load = other101.load;
-  __isset = other101.__isset;
-}
-mesh_frame::mesh_frame(mesh_frame&& other102) noexcept {
-  state = std::move(other102.state);
-  run = std::move(other102.run);
-  answer = std::move(other102.answer);
-  cancel = std::move(other102.cancel);
-  rows = std::move(other102.rows);
-  pull = std::move(other102.pull);
-  report = std::move(other102.report);
-  share = std::move(other102.share);
-  ping = other102.ping;
-  crashes = std::move(other102.crashes);
-  load = std::move(other102.load);
-  __isset = other102.__isset;
-}
-mesh_frame& mesh_frame::operator=(const mesh_frame& other103) {
-  state = other103.state;
-  run = other103.run;
-  answer = other103.answer;
-  cancel = other103.cancel;
-  rows = other103.rows;
-  pull = other103.pull;
-  report = other103.report;
-  share = other103.share;
-  ping = other103.ping;
-  crashes = other103.crashes;
-  load = other103.load;
-  __isset = other103.__isset;
+mesh_frame::mesh_frame(const mesh_frame& other111) {
+  state = other111.state;
+  run = other111.run;
+  answer = other111.answer;
+  cancel = other111.cancel;
+  rows = other111.rows;
+  pull = other111.pull;
+  report = other111.report;
+  share = other111.share;
+  ping = other111.ping;
+  crashes = other111.crashes;
+  load = other111.load;
+  departed = other111.departed;
+  __isset = other111.__isset;
+}
+mesh_frame::mesh_frame(mesh_frame&& other112) noexcept {
+  state = std::move(other112.state);
+  run = std::move(other112.run);
+  answer = std::move(other112.answer);
+  cancel = std::move(other112.cancel);
+  rows = std::move(other112.rows);
+  pull = std::move(other112.pull);
+  report = std::move(other112.report);
+  share = std::move(other112.share);
+  ping = other112.ping;
+  crashes = std::move(other112.crashes);
+  load = std::move(other112.load);
+  departed = std::move(other112.departed);
+  __isset = other112.__isset;
+}
+mesh_frame& mesh_frame::operator=(const mesh_frame& other113) {
+  state = other113.state;
+  run = other113.run;
+  answer = other113.answer;
+  cancel = other113.cancel;
+  rows = other113.rows;
+  pull = other113.pull;
+  report = other113.report;
+  share = other113.share;
+  ping = other113.ping;
+  crashes = other113.crashes;
+  load = other113.load;
+  departed = other113.departed;
+  __isset = other113.__isset;
   return *this;
 }
-mesh_frame& mesh_frame::operator=(mesh_frame&& other104) noexcept {
-  state = std::move(other104.state);
-  run = std::move(other104.run);
-  answer = std::move(other104.answer);
-  cancel = std::move(other104.cancel);
-  rows = std::move(other104.rows);
-  pull = std::move(other104.pull);
-  report = std::move(other104.report);
-  share = std::move(other104.share);
-  ping = other104.ping;
-  crashes = std::move(other104.crashes);
-  load = std::move(other104.load);
-  __isset = other104.__isset;
+mesh_frame& mesh_frame::operator=(mesh_frame&& other114) noexcept {
+  state = std::move(other114.state);
+  run = std::move(other114.run);
+  answer = std::move(other114.answer);
+  cancel = std::move(other114.cancel);
+  rows = std::move(other114.rows);
+  pull = std::move(other114.pull);
+  report = std::move(other114.report);
+  share = std::move(other114.share);
+  ping = other114.ping;
+  crashes = std::move(other114.crashes);
+  load = std::move(other114.load);
+  departed = std::move(other114.departed);
+  __isset = other114.__isset;
   return *this;
 }
 void mesh_frame::printTo(std::ostream& out) const {
@@ -3664,6 +3852,7 @@
   out << ", " << "ping="; (__isset.ping ? (out << to_string(ping)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ", " << "departed="; (__isset.departed ? (out << to_string(departed)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -68,6 +68,8 @@
 
 class crash_report;
 
+class departed_backend;
+
 class mesh_frame;
 
 typedef struct _owner_load__isset {
@@ -1273,8 +1275,67 @@
 
 std::ostream& operator<<(std::ostream& out, const crash_report& obj);
 
+typedef struct _departed_backend__isset {
+  _departed_backend__isset() : id(false), born(false), age_ms(false) {}
+  bool id :1;
+  bool born :1;
+  bool age_ms :1;
+} _departed_backend__isset;
+
+class departed_backend : public virtual ::apache::thrift::TBase {
+ public:
+
+  departed_backend(const departed_backend&);
+  departed_backend(departed_backend&&) noexcept;
+  departed_backend& operator=(const departed_backend&);
+  departed_backend& operator=(departed_backend&&) noexcept;
+  departed_backend() noexcept
+                   : id(),
+                     born(0),
+                     age_ms(0) {
+  }
+
+  virtual ~departed_backend() noexcept;
+  std::string id;
+  int64_t born;
+  int64_t age_ms;
+
+  _departed_backend__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const departed_backend & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const departed_backend &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const departed_backend & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(departed_backend &a, departed_backend &b);
+
+std::ostream& operator<<(std::ostream& out, const departed_backend& obj);
+
 typedef struct _mesh_frame__isset {
-  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false), crashes(false), load(false) {}
+  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false), crashes(false), load(false), departed(false) {}
   bool state :1;
   bool run :1;
   bool answer :1;
@@ -1286,6 +1347,7 @@
   bool ping :1;
   bool crashes :1;
   bool load :1;
+  bool departed :1;
 } _mesh_frame__isset;
 
 class mesh_frame : public virtual ::apache::thrift::TBase {
@@ -1311,6 +1373,7 @@
   bool ping;
   crash_report crashes;
   owner_load load;
+  std::vector<departed_backend>  departed;
 
   _mesh_frame__isset __isset;
 
@@ -1336,6 +1399,8 @@
 
   void __set_load(const owner_load& val);
 
+  void __set_departed(const std::vector<departed_backend> & val);
+
   bool operator == (const mesh_frame & rhs) const
   {
     if (__isset.state != rhs.__isset.state)
@@ -1382,6 +1447,10 @@
       return false;
     else if (__isset.load && !(load == rhs.load))
       return false;
+    if (__isset.departed != rhs.__isset.departed)
+      return false;
+    else if (__isset.departed && !(departed == rhs.departed))
+      return false;
     return true;
   }
   bool operator != (const mesh_frame &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -190,6 +190,14 @@
   1: list<backend_end> ends
 }
 
+// A backend server of the receiver that announced to an earlier process of it that it leaves.
+struct departed_backend {
+  1: string id
+  2: i64 born
+  // Time in milliseconds since it was announced.
+  3: i64 age_ms
+}
+
 struct mesh_frame {
   1: optional node_state state
   2: optional run_request run
@@ -203,4 +211,5 @@
   11: optional crash_report crashes
   // Sent when the owner's backend server gets its first free slot or has no more.
   12: optional owner_load load
+  13: optional list<departed_backend> departed
 }
