Refuse requests for a backend server without slots, also after lost answers

Cause: has_free_slot(), made from the condition in offer(), had dropped its check of slots() > 0; with a negative correction for lost answers a queue without slots would have admitted requests. Test: without_slots_every_request_is_refused.

--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -63,7 +63,7 @@
     std::vector<run_id> clear_waiting();
 
     /// True when a request would be admitted at once.
-    bool has_free_slot() const { return free_slots() > 0 && waiting_.empty(); }
+    bool has_free_slot() const { return slots_ > 0 && free_slots() > 0 && waiting_.empty(); }
     int running() const { return static_cast<int>(running_.size()); }
     int waiting() const { return static_cast<int>(waiting_.size()); }
     std::map<int, int> waiting_by_rank() const;
--- a/src/libmesh/slot_queue_test.cpp
+++ b/src/libmesh/slot_queue_test.cpp
@@ -184,3 +184,18 @@
         queue.offer(make_request({id + 10, 1, 5s, 5s}, start), start);
     }
 }
+
+BOOST_AUTO_TEST_CASE(without_slots_every_request_is_refused)
+{
+    slot_queue queue;
+    queue.set_slots(2);
+    fill_slots(queue, 2);
+    // The backend server has lost both answers, and then reports that it has no slots.
+    queue.set_untracked_running(-2);
+    queue.set_slots(0);
+    queue.finish(run_id{100}, false, start);
+    queue.finish(run_id{101}, false, start);
+    BOOST_TEST(!queue.has_free_slot());
+    const auto decided = queue.offer(make_request({200}, start), start);
+    BOOST_TEST((decided.result == slot_queue::admission::refuse));
+}
