Share the set-up of the roll-out tests; correct a comment of the simulated mesh

Found on reading the change again: the new pause test repeated the set-up of the handover test, and the comment of pause() named the wrong function. begin_rollout() serves both; assertions, bounds and seeds are the same. Not checked: the sanitizer builds of these two files.

--- a/src/libmesh/rollout_handover_test.cpp
+++ b/src/libmesh/rollout_handover_test.cpp
@@ -70,12 +70,9 @@
     return sum;
 }
 
-} // namespace
-
-BOOST_DATA_TEST_CASE(restarts_do_not_change_the_outcome_of_a_rollout,
-                     boost::unit_test::data::make(handover_cases), sample)
+/// Starts the backend servers of both releases and orders the roll-out of the new one.
+void begin_rollout(simulated_mesh& net)
 {
-    simulated_mesh net(node_count);
     net.configure(true, 1000ms, 400ms);
     for (std::size_t i = 0; i < node_count; ++i) {
         net.app(i).slots = 6;
@@ -84,6 +81,15 @@
         net.check_in(i);
     }
     net.order_rollout("v2", rollout_duration);
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(restarts_do_not_change_the_outcome_of_a_rollout,
+                     boost::unit_test::data::make(handover_cases), sample)
+{
+    simulated_mesh net(node_count);
+    begin_rollout(net);
     int sent = 0;
     for (int tick = 0; tick < rollout_duration / 1s * requests_per_second; ++tick) {
         const int second = tick / requests_per_second;
@@ -196,14 +202,7 @@
 {
     constexpr auto pause = 4s;
     simulated_mesh net(node_count);
-    net.configure(true, 1000ms, 400ms);
-    for (std::size_t i = 0; i < node_count; ++i) {
-        net.app(i).slots = 6;
-        net.app(i).release = release_id{i >= first_new_node ? "v2" : "v1"};
-        net.app(i).work = 60ms;
-        net.check_in(i);
-    }
-    net.order_rollout("v2", rollout_duration);
+    begin_rollout(net);
     net.run_for(2s);
     BOOST_REQUIRE(net.share_frames(0) > 0);
     net.pause(0);
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -293,7 +293,7 @@
         schedule(span, std::move(callback));
     }
 
-    /// The node's process stands still: what happens to it meanwhile is handled at resume().
+    /// The node's process stands still: what arrives meanwhile waits for handle_deferred().
     void pause(std::size_t i) { hosts_.at(i)->paused = true; }
     /// Continues with a timer, which is handled before what has arrived. The steady clock may have
     /// stood still too, as on a suspended machine.
