Report shed requests apart from failures in the evidence of roll-outs

Cause: rollout.decided gave one number of failures, which included requests that a backend server rejected without running them, so that the log could not tell a failing release from an overloaded one. Change: the reports between nodes carry shed requests apart, and the log line has old_failures, old_shed and new_shed. Decisions are unchanged: shed requests are added to the failures as before.

--- a/src/libmesh/gross_fault.cpp
+++ b/src/libmesh/gross_fault.cpp
@@ -32,29 +32,30 @@
 
 } // namespace
 
-void recent_outcomes::add(double added_good, double added_bad,
-                          const latency_histogram& added_latency)
+void recent_outcomes::add(const recent_outcomes& added)
 {
-    good += added_good;
-    bad += added_bad;
-    latency.add(added_latency);
+    good += added.good;
+    bad += added.bad;
+    shed += added.shed;
+    latency.add(added.latency);
 }
 
 void recent_outcomes::decay(double factor)
 {
     good *= factor;
     bad *= factor;
+    shed *= factor;
     latency.decay(factor);
 }
 
 std::optional<std::string> find_gross_fault(const recent_outcomes& old_release,
                                             const recent_outcomes& new_release)
 {
-    if (new_release.bad >= min_failures) {
+    if (new_release.failures() >= min_failures) {
         const double reference_ratio = old_release.total() > min_answers
-                                           ? old_release.bad / old_release.total()
+                                           ? old_release.failures() / old_release.total()
                                            : default_failure_ratio;
-        const double failure_ratio = new_release.bad / new_release.total();
+        const double failure_ratio = new_release.failures() / new_release.total();
         const double standard_deviation =
             std::sqrt(std::max(reference_ratio, default_failure_ratio) / new_release.total());
         if (failure_ratio > reference_ratio + std::max(min_ratio_excess,
@@ -72,12 +73,12 @@
 
 bool is_suspect(const recent_outcomes& old_release, const recent_outcomes& new_release)
 {
-    if (new_release.bad < suspect_min_failures) {
+    if (new_release.failures() < suspect_min_failures) {
         return false;
     }
     const double reference_ratio =
-        old_release.total() > 0 ? old_release.bad / old_release.total() : 0;
-    return new_release.bad / new_release.total() >
+        old_release.total() > 0 ? old_release.failures() / old_release.total() : 0;
+    return new_release.failures() / new_release.total() >
            reference_ratio * suspect_ratio_factor + suspect_ratio_margin;
 }
 
--- a/src/libmesh/gross_fault.h
+++ b/src/libmesh/gross_fault.h
@@ -4,21 +4,33 @@
 
 #include <camphortally/latency_histogram.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
 namespace camphor::mesh {
 
+/// Outcome of one request that was sent to a backend server.
+enum class run_verdict : std::uint8_t {
+    good,
+    failed,
+    /// The backend server rejected the request without running it.
+    shed
+};
+
 /// Counted outcomes of one release. With decay() older outcomes weigh less, so counts are
 /// fractional.
 struct recent_outcomes {
     double good = 0;
+    /// Failed requests, without those that were shed.
     double bad = 0;
+    double shed = 0;
     /// Latencies of the good outcomes.
     latency_histogram latency;
 
-    double total() const { return good + bad; }
-    void add(double added_good, double added_bad, const latency_histogram& added_latency);
+    double failures() const { return bad + shed; }
+    double total() const { return good + failures(); }
+    void add(const recent_outcomes& added);
     /// Multiplies all counts by `factor`, in [0, 1].
     void decay(double factor);
 };
--- a/src/libmesh/gross_fault_test.cpp
+++ b/src/libmesh/gross_fault_test.cpp
@@ -45,14 +45,14 @@
     for (int i = 0; i < release.requests; ++i) {
         const double position = (i + 0.5) / release.requests;
         if (position < release.failing_fraction) {
-            out.add(0, 1, {});
+            out.add({0, 1, 0, {}});
             continue;
         }
         const bool slow = position - release.failing_fraction < release.slow_fraction;
         latency_histogram latency;
         latency.add(
             std::chrono::milliseconds(base_latency_ms(random) * (slow ? release.slow_factor : 1)));
-        out.add(1, 0, latency);
+        out.add({1, 0, 0, latency});
     }
     return out;
 }
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -273,7 +273,7 @@
     duration departure_memory() const;
     void update_failure_ratio(bool failed);
     void log_broken_run(const run_state& run, const std::string& reason);
-    void record_release_result(const run_state& run, bool good);
+    void record_release_result(const run_state& run, run_verdict verdict);
     void retire_backend(backend_state state, const std::string& reason);
     mesh_wire::owner_load current_load(const route_id& route_name) const;
     bool has_free_slot() const;
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -235,7 +235,8 @@
     const auto status = input.content->status;
     const bool failed = status >= 500 || input.not_executed;
     update_failure_ratio(failed);
-    record_release_result(found->second, !failed);
+    const auto failure = input.not_executed ? run_verdict::shed : run_verdict::failed;
+    record_release_result(found->second, failed ? failure : run_verdict::good);
     record_run_answer(found->second, !failed);
     if (input.other_instance) {
         retire_backend(backend_state::unreachable, "another instance answers at its address");
@@ -279,7 +280,7 @@
         finish_run(input.run, {mesh_wire::run_outcome::refused, nullptr, "unreachable", {}}, false);
         return;
     }
-    record_release_result(found->second, false);
+    record_release_result(found->second, run_verdict::failed);
     const auto* reason = input.kind == backend_request_failure::garbled ? "garbled" : "broken";
     log_broken_run(found->second, reason);
     if (input.kind == backend_request_failure::broken) {
@@ -308,12 +309,12 @@
          {"others_at_work", std::to_string(queue_.running() - 1)}});
 }
 
-void node::record_release_result(const run_state& run, bool good)
+void node::record_release_result(const run_state& run, run_verdict verdict)
 {
     // A backend server that is warming up is slow regardless of its release.
     if (own_backend_ && own_backend_->id == run.backend && now_ > own_backend_->cold_until) {
-        rollouts_.record_outcome(own_backend_->service, own_backend_->release, run.route_name, good,
-                                 now_ - run.sent_at);
+        rollouts_.record_outcome(own_backend_->service, own_backend_->release, run.route_name,
+                                 verdict, now_ - run.sent_at);
     }
 }
 
@@ -346,7 +347,7 @@
         // The run already exceeded its usual duration, so its latency counts as a sample. A
         // shorter run proves nothing: its caller left.
         if (now_ - run.sent_at > queue_.hold(run.route_name, queue_.mean_hold())) {
-            record_release_result(run, true);
+            record_release_result(run, run_verdict::good);
         }
         // When a backend server ends without closing its connections, such runs are the only sign.
         record_lost_run(run);
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -142,7 +142,7 @@
 }
 
 void rollouts::record_outcome(const service_id& service, const release_id& release,
-                              const route_id& route, bool good, duration held)
+                              const route_id& route, run_verdict verdict, duration held)
 {
     const auto found = views_.find(service);
     if (found == views_.end() || found->second.phase != rollout_phase::running ||
@@ -150,11 +150,17 @@
         return;
     }
     auto& counts = local_outcomes_[{service, route, release}];
-    if (good) {
+    switch (verdict) {
+    case run_verdict::good:
         ++counts.good;
         counts.latency.add(held);
-    } else {
+        return;
+    case run_verdict::failed:
         ++counts.bad;
+        return;
+    case run_verdict::shed:
+        ++counts.shed;
+        return;
     }
 }
 
@@ -171,6 +177,7 @@
         wire_counts.__set_release(key.release.value());
         wire_counts.__set_good(outcomes.good);
         wire_counts.__set_bad(outcomes.bad);
+        wire_counts.__set_shed(outcomes.shed);
         wire_counts.__set_latency_buckets(outcomes.latency.to_counts());
         report.counts.push_back(std::move(wire_counts));
     }
@@ -189,10 +196,15 @@
             found->second.order != view->second.order.row_version) {
             continue;
         }
+        recent_outcomes reported;
+        reported.good = counts.good;
+        reported.bad = counts.bad;
+        reported.shed = counts.shed;
+        reported.latency = latency_histogram::from_counts(counts.latency_buckets);
         call_evidence evidence;
-        evidence.successes = counts.good;
-        evidence.failures = counts.bad;
-        evidence.latency = latency_histogram::from_counts(counts.latency_buckets);
+        evidence.successes = reported.good;
+        evidence.failures = reported.failures();
+        evidence.latency = reported.latency;
         const bool is_new = counts.release == view->second.order.target.value();
         found->second.policy->observe(
             {from, route_id{counts.route},
@@ -202,10 +214,10 @@
         auto& route_outcomes = found->second.recent_by_route[counts.route];
         auto& route_recent = is_new ? route_outcomes.second : route_outcomes.first;
         auto& recent = is_new ? found->second.new_recent : found->second.old_recent;
-        route_recent.add(counts.good, counts.bad, evidence.latency);
-        recent.add(counts.good, counts.bad, evidence.latency);
+        route_recent.add(reported);
+        recent.add(reported);
         auto& total = is_new ? found->second.new_total : found->second.old_total;
-        total.add(counts.good, counts.bad, evidence.latency);
+        total.add(reported);
     }
 }
 
@@ -393,7 +405,10 @@
           {"reports", std::to_string(evaluated.received_counts)},
           {"old_calls", std::to_string(std::lround(evaluated.old_total.total()))},
           {"new_calls", std::to_string(std::lround(evaluated.new_total.total()))},
+          {"old_failures", std::to_string(std::lround(evaluated.old_total.bad))},
           {"new_failures", std::to_string(std::lround(evaluated.new_total.bad))},
+          {"old_shed", std::to_string(std::lround(evaluated.old_total.shed))},
+          {"new_shed", std::to_string(std::lround(evaluated.new_total.shed))},
           {"evidence", decided.evidence}}});
 }
 
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -64,7 +64,7 @@
     /// Records the outcome of a run on the backend server beside this node, for take_evidence().
     /// `held` is the time from sending the request to its answer.
     void record_outcome(const service_id& service, const release_id& release, const route_id& route,
-                        bool good, duration held);
+                        run_verdict verdict, duration held);
 
     /// Returns the target release when a new request of the service is to go to it.
     /// `random_fraction` is a random number in [0, 1).
@@ -132,6 +132,7 @@
     struct outcome_counts {
         std::int32_t good = 0;
         std::int32_t bad = 0;
+        std::int32_t shed = 0;
         latency_histogram latency;
     };
 
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -2413,6 +2413,10 @@
 void release_counts::__set_latency_buckets(const std::vector<int32_t> & val) {
   this->latency_buckets = val;
 }
+
+void release_counts::__set_shed(const int32_t val) {
+  this->shed = val;
+}
 std::ostream& operator<<(std::ostream& out, const release_counts& obj)
 {
   obj.printTo(out);
@@ -2501,6 +2505,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->shed);
+          this->__isset.shed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2550,6 +2562,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("shed", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->shed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2563,6 +2579,7 @@
   swap(a.good, b.good);
   swap(a.bad, b.bad);
   swap(a.latency_buckets, b.latency_buckets);
+  swap(a.shed, b.shed);
   swap(a.__isset, b.__isset);
 }
 
@@ -2573,6 +2590,7 @@
   good = other69.good;
   bad = other69.bad;
   latency_buckets = other69.latency_buckets;
+  shed = other69.shed;
   __isset = other69.__isset;
 }
 release_counts::release_counts(release_counts&& other70) noexcept {
@@ -2582,6 +2600,7 @@
   good = other70.good;
   bad = other70.bad;
   latency_buckets = std::move(other70.latency_buckets);
+  shed = other70.shed;
   __isset = other70.__isset;
 }
 release_counts& release_counts::operator=(const release_counts& other71) {
@@ -2591,6 +2610,7 @@
   good = other71.good;
   bad = other71.bad;
   latency_buckets = other71.latency_buckets;
+  shed = other71.shed;
   __isset = other71.__isset;
   return *this;
 }
@@ -2601,6 +2621,7 @@
   good = other72.good;
   bad = other72.bad;
   latency_buckets = std::move(other72.latency_buckets);
+  shed = other72.shed;
   __isset = other72.__isset;
   return *this;
 }
@@ -2613,6 +2634,7 @@
   out << ", " << "good=" << to_string(good);
   out << ", " << "bad=" << to_string(bad);
   out << ", " << "latency_buckets=" << to_string(latency_buckets);
+  out << ", " << "shed=" << to_string(shed);
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -935,13 +935,14 @@
 std::ostream& operator<<(std::ostream& out, const rows_pull& obj);
 
 typedef struct _release_counts__isset {
-  _release_counts__isset() : service_name(false), route(false), release(false), good(false), bad(false), latency_buckets(false) {}
+  _release_counts__isset() : service_name(false), route(false), release(false), good(false), bad(false), latency_buckets(false), shed(false) {}
   bool service_name :1;
   bool route :1;
   bool release :1;
   bool good :1;
   bool bad :1;
   bool latency_buckets :1;
+  bool shed :1;
 } _release_counts__isset;
 
 class release_counts : public virtual ::apache::thrift::TBase {
@@ -956,7 +957,8 @@
                    route(),
                    release(),
                    good(0),
-                   bad(0) {
+                   bad(0),
+                   shed(0) {
   }
 
   virtual ~release_counts() noexcept;
@@ -966,6 +968,7 @@
   int32_t good;
   int32_t bad;
   std::vector<int32_t>  latency_buckets;
+  int32_t shed;
 
   _release_counts__isset __isset;
 
@@ -981,6 +984,8 @@
 
   void __set_latency_buckets(const std::vector<int32_t> & val);
 
+  void __set_shed(const int32_t val);
+
   bool operator == (const release_counts & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -995,6 +1000,8 @@
       return false;
     if (!(latency_buckets == rhs.latency_buckets))
       return false;
+    if (!(shed == rhs.shed))
+      return false;
     return true;
   }
   bool operator != (const release_counts &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -147,9 +147,12 @@
   2: string route
   3: string release
   4: i32 good
+  // Failed requests, without those that the backend server rejected without running them.
   5: i32 bad
   // Number of good answers per latency bucket, see latency_histogram in the core.
   6: list<i32> latency_buckets
+  // Requests that the backend server rejected without running them.
+  7: i32 shed
 }
 
 struct evidence {
