--- a/src/libmesh/rollout_handover_test.cpp
+++ b/src/libmesh/rollout_handover_test.cpp
@@ -2,7 +2,7 @@
 // the state and the outcomes that the other nodes hold: a bad release is rolled back within the
 // allowed exposure, and a good one completes.
 #define BOOST_TEST_MODULE rollout_handover
-#include "libmesh/test_mesh_net.h"
+#include "libmesh/test_rollout.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -17,15 +17,7 @@
 
 namespace {
 
-constexpr std::size_t node_count = 9;
-/// Nodes with this index or a larger one have the new release.
-constexpr std::size_t first_new_node = 6;
-constexpr int requests_per_second = 120;
-constexpr auto rollout_duration = 14s;
 constexpr auto restart_delay = 200ms;
-/// Limit on the requests that a bad release may get: one in `exposure_divisor`, plus the slack.
-constexpr int exposure_divisor = 10;
-constexpr int exposure_slack = 50;
 
 struct handover_case {
     const char* name;
@@ -61,28 +53,6 @@
     {"leader killed, good", std::nullopt, {{3, 0}}, rollout_phase::completed},
 };
 
-int arrivals(simulated_mesh& net)
-{
-    int sum = 0;
-    for (std::size_t i = first_new_node; i < node_count; ++i) {
-        sum += net.app(i).arrivals;
-    }
-    return sum;
-}
-
-/// Starts the backend servers of both releases and orders the roll-out of the new one.
-void begin_rollout(simulated_mesh& net)
-{
-    net.configure(true, 1000ms, 400ms);
-    for (std::size_t i = 0; i < node_count; ++i) {
-        net.app(i).slots = 6;
-        net.app(i).release = release_id{i >= first_new_node ? "v2" : "v1"};
-        net.app(i).work = 60ms;
-        net.check_in(i);
-    }
-    net.order_rollout("v2", rollout_duration);
-}
-
 } // namespace
 
 BOOST_DATA_TEST_CASE(restarts_do_not_change_the_outcome_of_a_rollout,
@@ -114,7 +84,7 @@
     BOOST_REQUIRE(!net.statuses().empty());
     BOOST_TEST((net.statuses().back().phase == sample.expected));
     if (sample.expected == rollout_phase::rolled_back) {
-        BOOST_TEST(arrivals(net) <= sent / exposure_divisor + exposure_slack);
+        BOOST_TEST(new_release_arrivals(net) <= allowed_exposure(sent));
     }
 }
 
@@ -135,9 +105,7 @@
             net.after(restart_delay, [&net] { net.restart_node(0); });
         }
         if (tick % requests_per_second == 0) {
-            for (std::size_t i = 0; i < node_count; ++i) {
-                net.check_in(i);
-            }
+            check_in_all(net);
         }
         net.send(static_cast<std::size_t>(tick) % node_count, "d" + std::to_string(tick));
         net.run_for(duration(1s) / requests_per_second);
@@ -165,9 +133,7 @@
     int sent = 0;
     for (int tick = 0; tick < seconds * requests_per_second; ++tick) {
         if (tick % requests_per_second == 0) {
-            for (std::size_t i = 0; i < node_count; ++i) {
-                net.check_in(i);
-            }
+            check_in_all(net);
         }
         net.send(static_cast<std::size_t>(tick) % node_count, "c" + std::to_string(tick), 250ms);
         ++sent;
@@ -175,7 +141,7 @@
     }
     BOOST_REQUIRE(!net.statuses().empty());
     BOOST_TEST((net.statuses().back().phase == rollout_phase::rolled_back));
-    BOOST_TEST(arrivals(net) <= sent / exposure_divisor + exposure_slack);
+    BOOST_TEST(new_release_arrivals(net) <= allowed_exposure(sent));
 }
 
 namespace {
--- /dev/null
+++ b/src/libmesh/rollout_trouble_test.cpp
@@ -0,0 +1,107 @@
+// Tests roll-outs during which the backend servers of the old release are in trouble of their own.
+// What goes wrong at the old release must not hide a fault of the new one, nor end a good roll-out.
+#define BOOST_TEST_MODULE rollout_trouble
+#include "libmesh/test_rollout.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <vector>
+
+using namespace camphor;
+using namespace camphor::mesh;
+using namespace camphor::mesh::test;
+
+namespace {
+
+/// One in so many requests fails or is shed; 0: none.
+struct trouble {
+    int failure_period = 0;
+    int shed_period = 0;
+};
+
+struct trouble_case {
+    const char* name;
+    trouble old_release;
+    trouble new_release;
+    /// Seconds of the roll-out in which the old release is in trouble: the first, and the end.
+    int from_second;
+    int end_second;
+    /// The new release's trouble lasts for the whole roll-out, or as long as the old one's.
+    bool new_recovers;
+    rollout_phase expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const trouble_case& sample)
+{
+    return out << sample.name;
+}
+
+constexpr int whole_rollout = rollout_duration / 1s;
+
+const std::vector<trouble_case> trouble_cases{
+    {"bad while the old release sheds half",
+     {0, 2},
+     {2, 0},
+     0,
+     9,
+     false,
+     rollout_phase::rolled_back},
+    {"bad while the old release sheds half to the end",
+     {0, 2},
+     {2, 0},
+     0,
+     whole_rollout,
+     false,
+     rollout_phase::rolled_back},
+    {"a third fails, the old release sheds half later",
+     {0, 2},
+     {3, 0},
+     1,
+     9,
+     false,
+     rollout_phase::rolled_back},
+    {"good while the old release sheds half", {0, 2}, {}, 0, 9, false, rollout_phase::completed},
+    {"good while both releases shed half", {0, 2}, {0, 2}, 2, 6, true, rollout_phase::completed},
+    {"sheds most, the old release none",
+     {},
+     {0, 2},
+     0,
+     whole_rollout,
+     false,
+     rollout_phase::rolled_back},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(requests_shed_by_the_old_release_do_not_excuse_the_new_one,
+                     boost::unit_test::data::make(trouble_cases), sample)
+{
+    simulated_mesh net(node_count);
+    begin_rollout(net);
+    int sent = 0;
+    for (int tick = 0; tick < whole_rollout * requests_per_second; ++tick) {
+        const int second = tick / requests_per_second;
+        if (tick % requests_per_second == 0) {
+            check_in_all(net);
+            const bool troubled = second >= sample.from_second && second < sample.end_second;
+            for (std::size_t i = 0; i < node_count; ++i) {
+                const bool is_new = i >= first_new_node;
+                const auto& kind = is_new ? sample.new_release : sample.old_release;
+                const bool applies = troubled || (is_new && !sample.new_recovers);
+                net.app(i).failure_period = applies ? kind.failure_period : 0;
+                net.app(i).shed_period = applies ? kind.shed_period : 0;
+            }
+        }
+        net.send(static_cast<std::size_t>(tick) % node_count, "m" + std::to_string(tick));
+        ++sent;
+        net.run_for(duration(1s) / requests_per_second);
+    }
+    BOOST_REQUIRE(!net.statuses().empty());
+    BOOST_TEST((net.statuses().back().phase == sample.expected));
+    if (sample.expected == rollout_phase::rolled_back) {
+        BOOST_TEST(new_release_arrivals(net) <= allowed_exposure(sent));
+    }
+}
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -39,6 +39,8 @@
     /// One in this many answers is a failure; 0: none.
     int failure_period = 0;
     int answers = 0;
+    /// One in this many requests is rejected at once without being run; 0: none.
+    int shed_period = 0;
     /// One in this many requests takes `slow_factor` times as long; 0: none.
     int slow_period = 0;
     int slow_factor = 1;
@@ -507,12 +509,16 @@
             return;
         }
         app.requests_after_leaving += app.leaving ? 1 : 0;
-        ++run_counts_[command.content->id];
-        last_run_times_[command.content->id] = now_;
         ++app.running;
         ++app.arrivals;
-        app.peak_running = std::max(app.peak_running, app.running);
         from.running_runs.insert(command.run);
+        if (app.shed_period > 0 && app.arrivals % app.shed_period == 0) {
+            schedule(0ms, [this, &from, run = command.run] { shed_run(from, run); });
+            return;
+        }
+        ++run_counts_[command.content->id];
+        last_run_times_[command.content->id] = now_;
+        app.peak_running = std::max(app.peak_running, app.running);
         const bool slow = app.slow_period > 0 && app.arrivals % app.slow_period == 0;
         schedule(app.work * (slow ? app.slow_factor : 1),
                  [this, &from, run = command.run] { finish_run(from, run); });
@@ -568,6 +574,17 @@
         content->status = fails ? 500 : app.status;
         feed(from, backend_answered{run, content, false, false, load});
     }
+    void shed_run(host& from, run_id run)
+    {
+        if (from.running_runs.erase(run) == 0) {
+            return;
+        }
+        const backend_load_report load{from.app.running, 0, from.app.slots};
+        --from.app.running;
+        auto content = std::make_shared<answer>();
+        content->status = 503;
+        feed(from, backend_answered{run, content, true, false, load});
+    }
     void perform(host& from, const abort_run& command)
     {
         if (from.running_runs.erase(command.run) > 0) {
