Compare shed requests of two releases apart from their failures

Callers saw a release that fails a third to a half of its requests get far more of them than a roll-out may risk, while the backend servers of the old release shed half of theirs. Cause: requests that a backend server rejected without running them counted as failures of its release. The old release then 'failed' more than half, so that the new one was taken for as good and its share was raised. Ruled out: a share that is not kept, a leader that knows too little. Change: failed and shed requests are compared each with the same ratio of the old release, for a roll-back at once and before each raise of the share; move_policy gets them as overloaded, which it never counted as failed. A new release that sheds far more than the old one is still rolled back. An old release that fails its requests itself can still hide a bad one; next.

--- a/src/libmesh/gross_fault.h
+++ b/src/libmesh/gross_fault.h
@@ -28,20 +28,22 @@
     /// Latencies of the good outcomes.
     latency_histogram latency;
 
-    double failures() const { return bad + shed; }
-    double total() const { return good + failures(); }
+    /// Requests that were run.
+    double executed() const { return good + bad; }
+    double total() const { return executed() + shed; }
     void add(const recent_outcomes& added);
     /// Multiplies all counts by `factor`, in [0, 1].
     void decay(double factor);
 };
 
-/// Describes a large excess of failures or latency of the new release over the old one; none
-/// without one.
+/// Describes a large excess of failed requests, shed requests or latency of the new release over
+/// the old one; none without one. Each is compared by itself, so that requests which the old
+/// release sheds do not excuse failures of the new one.
 std::optional<std::string> find_gross_fault(const recent_outcomes& old_release,
                                             const recent_outcomes& new_release);
 
-/// Returns whether the failure ratio of the new release over all its requests is too high to raise
-/// its share of the traffic.
+/// Returns whether the new release fails or sheds too large a part of all its requests to raise its
+/// share of the traffic.
 bool is_suspect(const recent_outcomes& old_release, const recent_outcomes& new_release);
 
 } // namespace camphor::mesh
--- a/src/libmesh/gross_fault_test.cpp
+++ b/src/libmesh/gross_fault_test.cpp
@@ -21,6 +21,7 @@
     double failing_fraction = 0;
     double slow_fraction = 0;
     int slow_factor = 1;
+    double shed_fraction = 0;
 };
 
 struct fault_case {
@@ -35,8 +36,8 @@
     return out << sample.name;
 }
 
-/// Generates outcomes with exactly the given fractions of failed and slow requests. Latencies are
-/// uniform from 60 to 140 ms, times the slow factor.
+/// Generates outcomes with exactly the given fractions of failed, slow and shed requests. Latencies
+/// are uniform from 60 to 140 ms, times the slow factor.
 recent_outcomes outcomes(const generated_release& release)
 {
     recent_outcomes out;
@@ -48,6 +49,10 @@
             out.add({0, 1, 0, {}});
             continue;
         }
+        if (position > 1 - release.shed_fraction) {
+            out.add({0, 0, 1, {}});
+            continue;
+        }
         const bool slow = position - release.failing_fraction < release.slow_fraction;
         latency_histogram latency;
         latency.add(
@@ -67,6 +72,9 @@
     {"healthy", {400, 0.01}, {100, 0.01}, false},
     {"no requests of the new release", {400, 0.01}, {0}, false},
     {"most fail, without requests of the old release", {0}, {20, 0.6}, true},
+    {"a third fails while the old release sheds half", {400, 0.01, 0, 1, 0.5}, {30, 0.33}, true},
+    {"both shed half", {400, 0.01, 0, 1, 0.5}, {60, 0.01, 0, 1, 0.5}, false},
+    {"sheds half, the old release none", {400, 0.01}, {20, 0, 0, 1, 0.5}, true},
 };
 
 } // namespace
@@ -96,6 +104,8 @@
     {"two failures of forty", {765, 0.01}, {40, 0.05}, false},
     {"healthy", {765, 0.01}, {200, 0.01}, false},
     {"no requests of the new release", {765, 0.01}, {0}, false},
+    {"an eighth fails while the old release sheds half", {765, 0.01, 0, 1, 0.5}, {41, 0.122}, true},
+    {"both shed half", {765, 0.01, 0, 1, 0.5}, {60, 0.01, 0, 1, 0.5}, false},
 };
 
 BOOST_DATA_TEST_CASE(suspects_a_release_with_a_higher_failure_ratio,
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -203,7 +203,8 @@
         reported.latency = latency_histogram::from_counts(counts.latency_buckets);
         call_evidence evidence;
         evidence.successes = reported.good;
-        evidence.failures = reported.failures();
+        evidence.failures = reported.bad;
+        evidence.overloaded = reported.shed;
         evidence.latency = reported.latency;
         const bool is_new = counts.release == view->second.order.target.value();
         found->second.policy->observe(
@@ -372,7 +373,7 @@
     }
     if (raises_share && is_suspect(evaluated.old_total, evaluated.new_total)) {
         decided.action = move_action::revert;
-        decided.reason = "the new release's failure ratio is too high to raise its share";
+        decided.reason = "the new release fails or sheds too many requests to raise its share";
     }
     if (decided.action == move_action::hold) {
         return;
