Hold a release that fails often while the old one fails as well

Cause: the share was raised whenever the new release fared no worse than the old one, whatever both failed, so a bad release rose to the full share. Change: a new release of which over a fifth fails, on all requests or on one route, is not raised (rollout.held). It is taken back when it has failed 30 requests and three more seconds have not shown a difference. Ruled out: taking it back at once; a release that fails only as long as the old one does is then lost (case 'good while both releases fail a third'). Below a fifth a comparison decides alone, as before.

--- a/src/libmesh/gross_fault.cpp
+++ b/src/libmesh/gross_fault.cpp
@@ -30,6 +30,8 @@
 constexpr double suspect_min_failures = 3;
 constexpr double suspect_ratio_factor = 2;
 constexpr double suspect_ratio_margin = 0.05;
+/// Failure ratio above which a release fails often.
+constexpr double often_failing_ratio = 0.2;
 
 /// A ratio of outcomes by which releases are compared.
 struct compared_ratio {
@@ -114,4 +116,10 @@
     });
 }
 
+bool fails_often(const recent_outcomes& release)
+{
+    return release.bad >= suspect_min_failures &&
+           release.bad > often_failing_ratio * release.executed();
+}
+
 } // namespace camphor::mesh
--- a/src/libmesh/gross_fault.h
+++ b/src/libmesh/gross_fault.h
@@ -46,4 +46,8 @@
 /// share of the traffic.
 bool is_suspect(const recent_outcomes& old_release, const recent_outcomes& new_release);
 
+/// Returns whether the release fails so large a part of its requests that a comparison with an old
+/// release which fails as well does not show it to be good.
+bool fails_often(const recent_outcomes& release);
+
 } // namespace camphor::mesh
--- a/src/libmesh/gross_fault_test.cpp
+++ b/src/libmesh/gross_fault_test.cpp
@@ -114,3 +114,29 @@
     BOOST_TEST(is_suspect(outcomes(sample.old_release), outcomes(sample.new_release)) ==
                sample.expected);
 }
+
+struct often_failing_case {
+    const char* name;
+    generated_release release;
+    bool expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const often_failing_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<often_failing_case> often_failing_cases{
+    {"a third fails", {30, 0.33}, true},
+    {"a tenth fails", {300, 0.1}, false},
+    {"two failures of four", {4, 0.5}, false},
+    {"a third of those that are not shed fails", {60, 0.165, 0, 1, 0.5}, true},
+    {"half are shed", {60, 0, 0, 1, 0.5}, false},
+    {"no requests", {0}, false},
+};
+
+BOOST_DATA_TEST_CASE(recognizes_a_release_that_fails_often,
+                     boost::unit_test::data::make(often_failing_cases), sample)
+{
+    BOOST_TEST(fails_often(outcomes(sample.release)) == sample.expected);
+}
--- a/src/libmesh/rollout_trouble_test.cpp
+++ b/src/libmesh/rollout_trouble_test.cpp
@@ -65,7 +65,30 @@
      rollout_phase::rolled_back},
     {"good while the old release sheds half", {0, 2}, {}, 0, 9, false, rollout_phase::completed},
     {"good while both releases shed half", {0, 2}, {0, 2}, 2, 6, true, rollout_phase::completed},
-    {"sheds most, the old release none",
+    {"bad while the old release fails half too",
+     {2, 0},
+     {2, 0},
+     0,
+     9,
+     false,
+     rollout_phase::rolled_back},
+    {"bad while the old release fails half too, to the end",
+     {2, 0},
+     {2, 0},
+     0,
+     whole_rollout,
+     false,
+     rollout_phase::rolled_back},
+    {"a third fails, the old release fails half later",
+     {2, 0},
+     {3, 0},
+     1,
+     whole_rollout,
+     false,
+     rollout_phase::rolled_back},
+    {"good while both releases fail a third", {3, 0}, {3, 0}, 2, 6, true, rollout_phase::completed},
+    {"good while the old release fails half", {2, 0}, {}, 0, 9, false, rollout_phase::completed},
+    {"sheds half, the old release none",
      {},
      {0, 2},
      0,
@@ -76,7 +99,7 @@
 
 } // namespace
 
-BOOST_DATA_TEST_CASE(requests_shed_by_the_old_release_do_not_excuse_the_new_one,
+BOOST_DATA_TEST_CASE(trouble_of_the_old_release_does_not_excuse_the_new_one,
                      boost::unit_test::data::make(trouble_cases), sample)
 {
     simulated_mesh net(node_count);
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -19,6 +19,10 @@
 /// After this long without a message of the leader, a node sends no more requests to a release that
 /// has not reached the full share.
 constexpr auto leader_timeout = 2500ms;
+/// Failures of a new release that fails often from which on its time is limited.
+constexpr double many_failures = 30;
+/// Longest time for which a new release that fails often may run because the old one fails as well.
+constexpr auto max_failing_time = 3s;
 /// Delay before a failed write of a status is repeated.
 constexpr auto status_write_backoff = 500ms;
 
@@ -238,6 +242,25 @@
     return fault;
 }
 
+bool rollouts::new_release_fails_often(const evaluation& evidence)
+{
+    return fails_often(evidence.new_recent) ||
+           std::any_of(evidence.recent_by_route.begin(), evidence.recent_by_route.end(),
+                       [](const auto& entry) { return fails_often(entry.second.second); });
+}
+
+bool rollouts::fails_for_too_long(evaluation& evidence, bool fails_often, time_point now)
+{
+    if (!fails_often) {
+        evidence.failing_since.reset();
+        return false;
+    }
+    if (!evidence.failing_since && evidence.new_total.bad >= many_failures) {
+        evidence.failing_since = now;
+    }
+    return evidence.failing_since && now > *evidence.failing_since + max_failing_time;
+}
+
 std::optional<release_id> rollouts::choose(const service_id& service, double random_fraction,
                                            time_point now) const
 {
@@ -356,25 +379,53 @@
     return out;
 }
 
-void rollouts::decide_one(rollout_view& view, time_point now, const limits& allowed, decisions& out)
+rollouts::judgement rollouts::judge(const rollout_view& view, time_point now, const limits& allowed)
 {
-    sync_policy(view, now, allowed);
-    const auto& evaluated = evaluations_.at(view.order.service);
-    auto decided = evaluated.policy->decide(to_wall_time(now));
-    if (const auto fault = check_gross_fault(view)) {
+    auto& evidence = evaluations_.at(view.order.service);
+    auto decided = evidence.policy->decide(to_wall_time(now));
+    const bool often = new_release_fails_often(evidence);
+    const bool too_long = fails_for_too_long(evidence, often, now);
+    const auto fault = check_gross_fault(view);
+    const auto revert = [&](const std::string& reason) {
         decided.action = move_action::revert;
-        decided.reason = *fault;
+        decided.reason = reason;
+        return judgement{decided, false};
+    };
+    if (fault) {
+        return revert(*fault);
+    }
+    if (too_long) {
+        return revert(
+            "the new release fails often, and the old one has failed as well for too long");
     }
     const bool raises_share =
         decided.action == move_action::complete ||
         (decided.action == move_action::set_share && decided.share > view.share);
-    if (raises_share && !allowed.may_raise_share) {
-        return;
+    if (!raises_share) {
+        return {decided, false};
     }
-    if (raises_share && is_suspect(evaluated.old_total, evaluated.new_total)) {
-        decided.action = move_action::revert;
-        decided.reason = "the new release fails or sheds too many requests to raise its share";
+    if (!allowed.may_raise_share) {
+        return {{}, false};
+    }
+    if (is_suspect(evidence.old_total, evidence.new_total)) {
+        return revert("the new release fails or sheds too many requests to raise its share");
     }
+    if (often) {
+        // The old release fails as well, so the comparison does not show that the new one is good.
+        return {{}, true};
+    }
+    return {decided, false};
+}
+
+void rollouts::decide_one(rollout_view& view, time_point now, const limits& allowed, decisions& out)
+{
+    sync_policy(view, now, allowed);
+    auto& evidence = evaluations_.at(view.order.service);
+    const auto [decided, held] = judge(view, now, allowed);
+    if (held && !evidence.held) {
+        out.lines.push_back(make_line("rollout.held", view, evidence, now));
+    }
+    evidence.held = held;
     if (decided.action == move_action::hold) {
         return;
     }
@@ -392,25 +443,34 @@
     }
     ++view.sequence;
     out.shares.push_back(make_share_frame(view, now));
-    out.lines.push_back(
-        {log_level::info,
-         "rollout.decided",
-         "",
-         {{"service", view.order.service.value()},
-          {"release", view.order.target.value()},
-          {"share_before", std::to_string(before.value())},
-          {"share", std::to_string(view.share.value())},
-          {"phase", std::to_string(static_cast<int>(view.phase))},
-          {"reason", decided.reason},
-          {"known_for_ms", std::to_string((now - evaluated.collecting_since) / milliseconds(1))},
-          {"reports", std::to_string(evaluated.received_counts)},
-          {"old_calls", std::to_string(std::lround(evaluated.old_total.total()))},
-          {"new_calls", std::to_string(std::lround(evaluated.new_total.total()))},
-          {"old_failures", std::to_string(std::lround(evaluated.old_total.bad))},
-          {"new_failures", std::to_string(std::lround(evaluated.new_total.bad))},
-          {"old_shed", std::to_string(std::lround(evaluated.old_total.shed))},
-          {"new_shed", std::to_string(std::lround(evaluated.new_total.shed))},
-          {"evidence", decided.evidence}}});
+    auto line = make_line("rollout.decided", view, evidence, now);
+    line.fields.emplace_back("share_before", std::to_string(before.value()));
+    line.fields.emplace_back("reason", decided.reason);
+    line.fields.emplace_back("evidence", decided.evidence);
+    out.lines.push_back(std::move(line));
+}
+
+log_line rollouts::make_line(const std::string& event, const rollout_view& view,
+                             const evaluation& evidence, time_point now)
+{
+    const auto count = [](double value) {
+        return std::to_string(std::lround(value));
+    };
+    return {log_level::info,
+            event,
+            "",
+            {{"service", view.order.service.value()},
+             {"release", view.order.target.value()},
+             {"share", std::to_string(view.share.value())},
+             {"phase", std::to_string(static_cast<int>(view.phase))},
+             {"known_for_ms", std::to_string((now - evidence.collecting_since) / milliseconds(1))},
+             {"reports", std::to_string(evidence.received_counts)},
+             {"old_calls", count(evidence.old_total.total())},
+             {"new_calls", count(evidence.new_total.total())},
+             {"old_failures", count(evidence.old_total.bad)},
+             {"new_failures", count(evidence.new_total.bad)},
+             {"old_shed", count(evidence.old_total.shed)},
+             {"new_shed", count(evidence.new_total.shed)}}};
 }
 
 void rollouts::request_status_write(rollout_view& view, time_point now, decisions& out)
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -121,6 +121,16 @@
         /// Outcomes of the old and the new release by route, with exponential decay. A fault may
         /// show on a single route only.
         std::map<std::string, std::pair<recent_outcomes, recent_outcomes>> recent_by_route;
+        /// When the new release was first seen to fail often with many failures; none while it does
+        /// not.
+        std::optional<time_point> failing_since;
+        /// The last decision would have raised the share, but the new release fails often.
+        bool held = false;
+    };
+    /// What the leader decides on one roll-out. `held`: see evaluation::held.
+    struct judgement {
+        move_decision decided;
+        bool held = false;
     };
     struct outcome_key {
         service_id service;
@@ -139,6 +149,18 @@
     /// Describes a fault of the new release that is large enough to roll back at once; none without
     /// one. Decays the outcomes.
     std::optional<std::string> check_gross_fault(const rollout_view& view);
+    /// Returns whether the new release fails often, on all requests or on one route, whatever the
+    /// old release does.
+    static bool new_release_fails_often(const evaluation& evidence);
+    /// Returns whether a release that fails often has done so for too long to wait for the old
+    /// release to recover.
+    static bool fails_for_too_long(evaluation& evidence, bool fails_often, time_point now);
+    /// Judges the evidence of one roll-out. Closes a window of it, so it is called once for each
+    /// decision.
+    judgement judge(const rollout_view& view, time_point now, const limits& allowed);
+    /// A log line with the state of a roll-out and what is known of both releases.
+    static log_line make_line(const std::string& event, const rollout_view& view,
+                              const evaluation& evidence, time_point now);
     /// Decides on one roll-out.
     void decide_one(rollout_view& view, time_point now, const limits& allowed, decisions& out);
     /// Sets the policy to the share and stage of `view`. Creates it for a new order.
