Compare the shed requests of two releases at the same time

Change: an excess of shed requests is a doubt first; what follows is compared window by window for a second (the stratified test of move_policy). The release is taken back when it still differs; while in doubt it is not completed. Ruled out: holding every raise while in doubt (the roll-out then ends 0.1 s too late), three seconds of doubt (too late as well).

--- a/src/libmesh/gross_fault.cpp
+++ b/src/libmesh/gross_fault.cpp
@@ -2,7 +2,6 @@
 #include "libmesh/gross_fault.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace camphor::mesh {
@@ -25,56 +24,35 @@
 /// The new release is slow beyond this factor. Backend servers of one release differ in speed by up
 /// to as much.
 constexpr int max_slowdown = 3;
-/// A release is suspect with at least `suspect_min_failures` failed or shed requests and a ratio of
-/// these above the old release's times `suspect_ratio_factor` plus `suspect_ratio_margin`.
+/// A release is suspect with at least `suspect_min_failures` failures and a failure ratio above the
+/// old release's times `suspect_ratio_factor` plus `suspect_ratio_margin`.
 constexpr double suspect_min_failures = 3;
 constexpr double suspect_ratio_factor = 2;
 constexpr double suspect_ratio_margin = 0.05;
+/// Time for which a new release in doubt is observed.
+constexpr auto doubt_time = std::chrono::seconds(1);
+/// Time for which a doubt that has passed does not begin again: until outcomes from before the
+/// doubt hardly count.
+constexpr auto alike_time = std::chrono::seconds(3);
+/// With a smaller part of the new release's requests the old one is nothing to compare with.
+constexpr double min_compared_part = 0.02;
 /// Failure ratio above which a release fails often.
 constexpr double often_failing_ratio = 0.2;
 
-/// A ratio of outcomes by which releases are compared.
-struct compared_ratio {
-    double recent_outcomes::*part;
-    double (recent_outcomes::*whole)() const;
-    const char* excess_text;
-
-    double of(const recent_outcomes& release) const
-    {
-        const double all = (release.*whole)();
-        return all > 0 ? release.*part / all : 0;
-    }
-};
-
-constexpr std::array compared_ratios{
-    compared_ratio{&recent_outcomes::bad, &recent_outcomes::executed,
-                   "the new release's failure ratio is far above the old release's"},
-    compared_ratio{&recent_outcomes::shed, &recent_outcomes::total,
-                   "the new release sheds far more requests than the old release"},
-};
-
-bool far_exceeds(const compared_ratio& ratio, const recent_outcomes& old_release,
-                 const recent_outcomes& new_release)
+/// Returns whether the ratio of bad requests of the new release is far above that of the old one.
+bool far_exceeds(const trial_counts& old_release, const trial_counts& new_release)
 {
-    if (new_release.*ratio.part < min_failures) {
+    if (new_release.bad < min_failures) {
         return false;
     }
     const double reference =
-        (old_release.*ratio.whole)() > min_answers ? ratio.of(old_release) : default_failure_ratio;
+        old_release.calls > min_answers ? old_release.ratio() : default_failure_ratio;
     const double standard_deviation =
-        std::sqrt(std::max(reference, default_failure_ratio) / (new_release.*ratio.whole)());
-    return ratio.of(new_release) >
+        std::sqrt(std::max(reference, default_failure_ratio) / new_release.calls);
+    return new_release.ratio() >
            reference + std::max(min_ratio_excess, required_deviations * standard_deviation);
 }
 
-bool is_too_high_to_raise(const compared_ratio& ratio, const recent_outcomes& old_release,
-                          const recent_outcomes& new_release)
-{
-    return new_release.*ratio.part >= suspect_min_failures &&
-           ratio.of(new_release) >
-               ratio.of(old_release) * suspect_ratio_factor + suspect_ratio_margin;
-}
-
 } // namespace
 
 void recent_outcomes::add(const recent_outcomes& added)
@@ -96,10 +74,8 @@
 std::optional<std::string> find_gross_fault(const recent_outcomes& old_release,
                                             const recent_outcomes& new_release)
 {
-    for (const auto& ratio : compared_ratios) {
-        if (far_exceeds(ratio, old_release, new_release)) {
-            return ratio.excess_text;
-        }
+    if (far_exceeds(old_release.failed(), new_release.failed())) {
+        return "the new release's failure ratio is far above the old release's";
     }
     if (new_release.good >= min_answers && old_release.good >= min_answers &&
         new_release.latency.quantile(latency_quantile) >
@@ -109,17 +85,53 @@
     return std::nullopt;
 }
 
+shed_comparison::verdict shed_comparison::add_window(const release_outcomes& window,
+                                                     const release_outcomes& recent, time_point now)
+{
+    if (!in_doubt_since_) {
+        if (now < alike_until_ ||
+            !far_exceeds(recent.old_release.rejected(), recent.new_release.rejected())) {
+            return verdict::alike;
+        }
+        *this = {};
+        in_doubt_since_ = now;
+        return verdict::in_doubt;
+    }
+    old_release_.add(window.old_release.rejected());
+    new_release_.add(window.new_release.rejected());
+    at_same_time_.add(window.old_release.rejected(), window.new_release.rejected());
+    if (now < *in_doubt_since_ + doubt_time) {
+        return verdict::in_doubt;
+    }
+    in_doubt_since_.reset();
+    if (differs()) {
+        return verdict::worse;
+    }
+    alike_until_ = now + alike_time;
+    return verdict::alike;
+}
+
+bool shed_comparison::differs() const
+{
+    if (old_release_.calls < min_compared_part * new_release_.calls) {
+        return new_release_.ratio() > default_failure_ratio + min_ratio_excess;
+    }
+    return far_exceeds(old_release_, new_release_) &&
+           at_same_time_.deviations() >= required_deviations;
+}
+
 bool is_suspect(const recent_outcomes& old_release, const recent_outcomes& new_release)
 {
-    return std::any_of(compared_ratios.begin(), compared_ratios.end(), [&](const auto& ratio) {
-        return is_too_high_to_raise(ratio, old_release, new_release);
-    });
+    if (new_release.bad < suspect_min_failures) {
+        return false;
+    }
+    return new_release.failed().ratio() >
+           old_release.failed().ratio() * suspect_ratio_factor + suspect_ratio_margin;
 }
 
 bool fails_often(const recent_outcomes& release)
 {
-    return release.bad >= suspect_min_failures &&
-           release.bad > often_failing_ratio * release.executed();
+    return release.bad >= suspect_min_failures && release.failed().ratio() > often_failing_ratio;
 }
 
 } // namespace camphor::mesh
--- a/src/libmesh/gross_fault.h
+++ b/src/libmesh/gross_fault.h
@@ -2,7 +2,9 @@
 // too few requests for a sequential test of small differences to decide.
 #pragma once
 
+#include <camphortally/ids.h>
 #include <camphortally/latency_histogram.h>
+#include <camphortally/release_comparison.h>
 
 #include <cstdint>
 #include <optional>
@@ -28,22 +30,53 @@
     /// Latencies of the good outcomes.
     latency_histogram latency;
 
-    /// Requests that were run.
-    double executed() const { return good + bad; }
-    double total() const { return executed() + shed; }
+    double total() const { return good + bad + shed; }
+    /// Requests that were run, and how many of them failed.
+    trial_counts failed() const { return {good + bad, bad}; }
+    /// All requests, and how many of them were shed.
+    trial_counts rejected() const { return {total(), shed}; }
     void add(const recent_outcomes& added);
     /// Multiplies all counts by `factor`, in [0, 1].
     void decay(double factor);
 };
 
-/// Describes a large excess of failed requests, shed requests or latency of the new release over
-/// the old one; none without one. Each is compared by itself, so that requests which the old
-/// release sheds do not excuse failures of the new one.
+/// Describes a large excess of failures or latency of the new release over the old one; none
+/// without one. Shed requests count as neither good nor failed.
 std::optional<std::string> find_gross_fault(const recent_outcomes& old_release,
                                             const recent_outcomes& new_release);
 
-/// Returns whether the new release fails or sheds too large a part of all its requests to raise its
-/// share of the traffic.
+/// Outcomes of both releases in the same span of time.
+struct release_outcomes {
+    recent_outcomes old_release;
+    recent_outcomes new_release;
+};
+
+/// Finds out whether a new release sheds far more requests than the old one. When both begin to
+/// shed, the decayed outcomes show that of the release whose traffic has grown first, so that an
+/// excess there is only a doubt. What follows is compared window by window.
+class shed_comparison {
+public:
+    enum class verdict : std::uint8_t { alike, in_doubt, worse };
+
+    /// Adds the outcomes of the last window. `recent` are the decayed outcomes, that window
+    /// included.
+    verdict add_window(const release_outcomes& window, const release_outcomes& recent,
+                       time_point now);
+
+private:
+    bool differs() const;
+
+    /// When the doubt began; none without one.
+    std::optional<time_point> in_doubt_since_;
+    /// End of the time for which both releases are taken to shed alike.
+    time_point alike_until_{};
+    trial_counts old_release_;
+    trial_counts new_release_;
+    stratified_test at_same_time_;
+};
+
+/// Returns whether the failure ratio of the new release over all its requests is too high to raise
+/// its share of the traffic.
 bool is_suspect(const recent_outcomes& old_release, const recent_outcomes& new_release);
 
 /// Returns whether the release fails so large a part of its requests that a comparison with an old
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace camphor::mesh {
 
@@ -216,37 +217,38 @@
              is_new ? release_side::new_release : release_side::old_release},
             evidence);
         ++found->second.received_counts;
-        auto& route_outcomes = found->second.recent_by_route[counts.route];
-        auto& route_recent = is_new ? route_outcomes.second : route_outcomes.first;
-        auto& recent = is_new ? found->second.new_recent : found->second.old_recent;
-        route_recent.add(reported);
-        recent.add(reported);
-        auto& total = is_new ? found->second.new_total : found->second.old_total;
-        total.add(reported);
+        auto& known = found->second;
+        const auto side = is_new ? &release_outcomes::new_release : &release_outcomes::old_release;
+        for (auto* outcomes :
+             {&known.window, &known.recent, &known.total, &known.recent_by_route[counts.route]}) {
+            (outcomes->*side).add(reported);
+        }
     }
 }
 
 std::optional<std::string> rollouts::check_gross_fault(const rollout_view& view)
 {
     auto& evidence = evaluations_.at(view.order.service);
-    auto fault = find_gross_fault(evidence.old_recent, evidence.new_recent);
-    evidence.old_recent.decay(outcome_decay);
-    evidence.new_recent.decay(outcome_decay);
-    for (auto& [route, outcomes] : evidence.recent_by_route) {
+    std::optional<std::string> fault;
+    const auto check = [&](release_outcomes& recent) {
         if (!fault) {
-            fault = find_gross_fault(outcomes.first, outcomes.second);
+            fault = find_gross_fault(recent.old_release, recent.new_release);
         }
-        outcomes.first.decay(outcome_decay);
-        outcomes.second.decay(outcome_decay);
+        recent.old_release.decay(outcome_decay);
+        recent.new_release.decay(outcome_decay);
+    };
+    check(evidence.recent);
+    for (auto& [route, recent] : evidence.recent_by_route) {
+        check(recent);
     }
     return fault;
 }
 
 bool rollouts::new_release_fails_often(const evaluation& evidence)
 {
-    return fails_often(evidence.new_recent) ||
+    return fails_often(evidence.recent.new_release) ||
            std::any_of(evidence.recent_by_route.begin(), evidence.recent_by_route.end(),
-                       [](const auto& entry) { return fails_often(entry.second.second); });
+                       [](const auto& entry) { return fails_often(entry.second.new_release); });
 }
 
 bool rollouts::fails_for_too_long(evaluation& evidence, bool fails_often, time_point now)
@@ -255,7 +257,7 @@
         evidence.failing_since.reset();
         return false;
     }
-    if (!evidence.failing_since && evidence.new_total.bad >= many_failures) {
+    if (!evidence.failing_since && evidence.total.new_release.bad >= many_failures) {
         evidence.failing_since = now;
     }
     return evidence.failing_since && now > *evidence.failing_since + max_failing_time;
@@ -385,6 +387,8 @@
     auto decided = evidence.policy->decide(to_wall_time(now));
     const bool often = new_release_fails_often(evidence);
     const bool too_long = fails_for_too_long(evidence, often, now);
+    const auto shedding =
+        evidence.shedding.add_window(std::exchange(evidence.window, {}), evidence.recent, now);
     const auto fault = check_gross_fault(view);
     const auto revert = [&](const std::string& reason) {
         decided.action = move_action::revert;
@@ -398,6 +402,9 @@
         return revert(
             "the new release fails often, and the old one has failed as well for too long");
     }
+    if (shedding == shed_comparison::verdict::worse) {
+        return revert("the new release sheds far more requests than the old one");
+    }
     const bool raises_share =
         decided.action == move_action::complete ||
         (decided.action == move_action::set_share && decided.share > view.share);
@@ -407,11 +414,13 @@
     if (!allowed.may_raise_share) {
         return {{}, false};
     }
-    if (is_suspect(evidence.old_total, evidence.new_total)) {
-        return revert("the new release fails or sheds too many requests to raise its share");
+    if (is_suspect(evidence.total.old_release, evidence.total.new_release)) {
+        return revert("the new release's failure ratio is too high to raise its share");
     }
-    if (often) {
-        // The old release fails as well, so the comparison does not show that the new one is good.
+    const bool ends_the_old_release = decided.action == move_action::complete;
+    if (often || (ends_the_old_release && shedding == shed_comparison::verdict::in_doubt)) {
+        // The old release may be in the same trouble: the new one is not shown to be good or bad
+        // yet.
         return {{}, true};
     }
     return {decided, false};
@@ -465,12 +474,12 @@
              {"phase", std::to_string(static_cast<int>(view.phase))},
              {"known_for_ms", std::to_string((now - evidence.collecting_since) / milliseconds(1))},
              {"reports", std::to_string(evidence.received_counts)},
-             {"old_calls", count(evidence.old_total.total())},
-             {"new_calls", count(evidence.new_total.total())},
-             {"old_failures", count(evidence.old_total.bad)},
-             {"new_failures", count(evidence.new_total.bad)},
-             {"old_shed", count(evidence.old_total.shed)},
-             {"new_shed", count(evidence.new_total.shed)}}};
+             {"old_calls", count(evidence.total.old_release.total())},
+             {"new_calls", count(evidence.total.new_release.total())},
+             {"old_failures", count(evidence.total.old_release.bad)},
+             {"new_failures", count(evidence.total.new_release.bad)},
+             {"old_shed", count(evidence.total.old_release.shed)},
+             {"new_shed", count(evidence.total.new_release.shed)}}};
 }
 
 void rollouts::request_status_write(rollout_view& view, time_point now, decisions& out)
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -112,19 +112,19 @@
         /// Number of counts received, each for one route and one release.
         std::int64_t received_counts = 0;
         std::unique_ptr<move_policy> policy;
-        /// Outcomes of the old and the new release, with exponential decay.
-        recent_outcomes old_recent;
-        recent_outcomes new_recent;
+        /// Outcomes with exponential decay.
+        release_outcomes recent;
         /// All outcomes since the order, without decay.
-        recent_outcomes old_total;
-        recent_outcomes new_total;
-        /// Outcomes of the old and the new release by route, with exponential decay. A fault may
-        /// show on a single route only.
-        std::map<std::string, std::pair<recent_outcomes, recent_outcomes>> recent_by_route;
+        release_outcomes total;
+        /// Outcomes by route, with exponential decay. A fault may show on a single route only.
+        std::map<std::string, release_outcomes> recent_by_route;
+        /// Outcomes since the last decision.
+        release_outcomes window;
+        shed_comparison shedding;
         /// When the new release was first seen to fail often with many failures; none while it does
         /// not.
         std::optional<time_point> failing_since;
-        /// The last decision would have raised the share, but the new release fails often.
+        /// The last decision would have raised the share, but the new release is in doubt.
         bool held = false;
     };
     /// What the leader decides on one roll-out. `held`: see evaluation::held.
@@ -150,7 +150,7 @@
     /// one. Decays the outcomes.
     std::optional<std::string> check_gross_fault(const rollout_view& view);
     /// Returns whether the new release fails often, on all requests or on one route, whatever the
-    /// old release does.
+    /// old one does.
     static bool new_release_fails_often(const evaluation& evidence);
     /// Returns whether a release that fails often has done so for too long to wait for the old
     /// release to recover.
