Bound the interim answers that a backend server of the own interface sends

Report of another operator: a faulty upstream sent bytes that were no answer, without end, and the machine that had called it kept them all. Interim answers (1xx) without end were read on until the call's time was over. Change: all heads of one answer together are held to the limit of one head. The test's client is named blocking_client, as test_io.h has a raw_client.

--- a/src/libshell/call_server_test.cpp
+++ b/src/libshell/call_server_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "libshell/test_http.h"
+#include "libshell/test_streams.h"
 
 #include <rapidcheck.h>
 
@@ -96,7 +97,7 @@
 {
     raw_backend backend(echo());
     served node(try_in_turn({backend.port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     client.send(item.bytes);
     const auto answer = client.receive();
     if (item.status == 0) {
@@ -114,7 +115,7 @@
 {
     raw_backend backend(echo());
     served node(try_in_turn({backend.port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     for (int i = 0; i < 5; ++i) {
         const auto target = "/" + std::to_string(i);
         BOOST_TEST(client.get(target).body() == target + " ");
@@ -127,7 +128,7 @@
 {
     raw_backend backend(echo());
     served node(try_in_turn({backend.port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     client.send("GET /1 HTTP/1.1\r\nHost: t\r\n\r\nGET /2 HTTP/1.1\r\nHost: t\r\n\r\n"
                 "GET /3 HTTP/1.1\r\nHost: t\r\n\r\n");
     for (const std::string target : {"/1 ", "/2 ", "/3 "}) {
@@ -155,7 +156,7 @@
 {
     raw_backend backend(echo());
     served node(try_in_turn({backend.port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     std::string body;
     while (body.size() < item.bytes) {
         body += std::to_string(body.size()) + ",";
@@ -198,7 +199,7 @@
         return false;
     });
     served node(try_in_turn({backend.port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     client.send("GET /a HTTP/1.1\r\nHost: test\r\n\r\n");
     boost::system::error_code error;
     client.receive(error);
@@ -216,7 +217,7 @@
     });
     raw_backend quick(echo());
     served node(try_in_turn({slow.port(), quick.port()}, 50ms));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     BOOST_TEST(client.get("/1").body() == "/1 ");
     BOOST_TEST((node.wait_for<attempt_failed>().failure == attempt_failure::timed_out));
     late.open();
@@ -226,7 +227,7 @@
 BOOST_AUTO_TEST_CASE(a_backend_server_that_cannot_be_reached_was_not_sent_to)
 {
     served node(try_in_turn({dead_port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     const auto answer = client.get("/a");
     BOOST_TEST(answer.result_int() == 503U);
     BOOST_TEST(answer["Camphor-Not-Run"] == "true");
@@ -237,7 +238,7 @@
 {
     raw_backend backend([](tcp::socket&, const request& /*received*/) { return false; });
     served node(try_in_turn({backend.port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     const auto answer = client.get("/a");
     BOOST_TEST(answer.count("Camphor-Not-Run") == 0U);
     BOOST_TEST((node.wait_for<attempt_failed>().failure == attempt_failure::broken));
@@ -250,7 +251,7 @@
         return true;
     });
     served node(try_in_turn({backend.port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     const auto answer = client.get("/a");
     BOOST_TEST(answer.count("Camphor-Not-Run") == 0U);
     BOOST_TEST(answer["X-Kept"] == "yes");
@@ -265,7 +266,7 @@
     });
     served node(try_in_turn({backend.port()}));
     {
-        raw_client client(node.port());
+        blocking_client client(node.port());
         client.send("GET /a HTTP/1.1\r\nHost: test\r\n\r\n");
         node.wait_for<call_arrived>();
     }
@@ -278,7 +279,7 @@
     call_server_settings settings;
     settings.head_timeout = 50ms;
     served node(try_in_turn({}), settings);
-    raw_client client(node.port());
+    blocking_client client(node.port());
     client.send("GET /a HTTP/1.1\r\nHos");
     BOOST_TEST(client.receive().result_int() == 408U);
     BOOST_TEST(client.is_closed());
@@ -288,7 +289,7 @@
 {
     raw_backend backend(echo());
     served node(try_in_turn({backend.port()}, 30s, true));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     client.send("POST /a HTTP/1.1\r\nHost: t\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi");
     BOOST_TEST(client.receive().body() == "/a hi");
     const auto kept = node.wait_for<call_finished>().kept_answer;
@@ -307,7 +308,7 @@
         return true;
     });
     served node(try_in_turn({backend.port()}));
-    raw_client client(node.port());
+    blocking_client client(node.port());
     client.send("GET /a HTTP/1.1\r\nHost: test\r\n\r\n");
     node.wait_for<attempt_answered>();
     asio::post(node.io(), [&] {
@@ -322,7 +323,7 @@
 {
     raw_backend backend(echo());
     served node(try_in_turn({backend.port()}));
-    raw_client good(node.port());
+    blocking_client good(node.port());
     const bool held = rc::check("damaged requests", [&] {
         auto bytes = post_head + "Content-Length: 3\r\nIdempotency-Key: k\r\n\r\nabc";
         const auto damages = *rc::gen::inRange(1, 8);
@@ -331,11 +332,36 @@
             bytes[at] = *rc::gen::arbitrary<char>();
         }
         bytes.resize(*rc::gen::inRange<std::size_t>(1, bytes.size() + 1));
-        raw_client bad(node.port());
+        blocking_client bad(node.port());
         bad.send(bytes);
         RC_ASSERT(good.get("/a").result_int() == 200U);
     });
     BOOST_TEST(held);
 }
 
+// The client does not read, so that what the node takes from the backend server stays with it.
+BOOST_DATA_TEST_CASE(answers_without_end_are_not_collected,
+                     data::make(endless_answers("HTTP/1.1 200 OK\r\n")), item)
+{
+    constexpr std::size_t node_bytes = 1ULL * 1024 * 1024;
+    constexpr auto quiet = 300ms;
+    asio::io_context io{1};
+    endless_server backend(io, item.start, item.piece);
+    served node(try_in_turn({backend.port()}));
+    blocking_client client(node.port());
+    client.send("GET /a HTTP/1.1\r\nHost: test\r\n\r\n");
+    std::size_t written = 0;
+    auto last_write = std::chrono::steady_clock::now();
+    run_long(io, [&] {
+        const auto now = std::chrono::steady_clock::now();
+        if (backend.written() != written) {
+            written = backend.written();
+            last_write = now;
+        }
+        const bool paused = written > 0 && now > last_write + quiet;
+        return paused || backend.closed() > 0;
+    });
+    BOOST_TEST(backend.written() <= node_bytes + kernel_bytes);
+}
+
 } // namespace camphor::shell
--- a/src/libshell/test_http.h
+++ b/src/libshell/test_http.h
@@ -32,9 +32,9 @@
 }
 
 /// A blocking caller.
-class raw_client {
+class blocking_client {
 public:
-    explicit raw_client(std::uint16_t port) : socket_(io_) { socket_.connect(loopback(port)); }
+    explicit blocking_client(std::uint16_t port) : socket_(io_) { socket_.connect(loopback(port)); }
 
     void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
 
--- a/src/libshell/upstream_attempt.cpp
+++ b/src/libshell/upstream_attempt.cpp
@@ -160,8 +160,14 @@
     auto& input = channel_->input();
     error_code error;
     while (input.size() > 0 && !parser_->is_header_done() && !error) {
-        input.consume(parser_->put(input.data(), error));
+        const auto used = parser_->put(input.data(), error);
+        input.consume(used);
+        heads_bytes_ += used;
         const bool interim = parser_->is_header_done() && response().result_int() < 200;
+        if (interim && heads_bytes_ > options_.head_bytes) {
+            fail(failure_now());
+            return;
+        }
         if (interim) {
             reset_parser();
         }
--- a/src/libshell/upstream_attempt.h
+++ b/src/libshell/upstream_attempt.h
@@ -94,6 +94,8 @@
     std::optional<boost::asio::steady_timer> connect_timer_;
     std::optional<response_parser> parser_;
     std::uint64_t sent_before_ = 0;
+    /// Bytes of the heads so far, those of interim answers included.
+    std::size_t heads_bytes_ = 0;
     bool request_complete_ = true;
     bool sending_ = false;
     bool has_head_ = false;
