Keep the backend server of a stopping node in use until it leaves

Ruled out by the logs: requests sent to a node that had stopped (one 'stopping' refusal), lost runs (no run.broken), connections without an answer (the clients repeat them, 69 before and after). Change: a request goes there while twice its usual time ends before the node may leave; the node announces how long. New clients are refused as before.

--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -73,6 +73,8 @@
     /// Revision of the last state report since the node started.
     std::int64_t revision = 0;
     bool stopping = false;
+    /// Until when the backend server of a stopping node still takes requests of other nodes.
+    time_point lends_until{};
     /// Backend server beside the node; none before it is known.
     std::optional<backend> app;
     /// Backend servers that left the node lately. Kept when the node restarts, since its new
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -24,6 +24,8 @@
 /// shorter: clients notice that it accepts nothing new after two failed readiness checks, one
 /// second apart.
 constexpr duration min_drain_time = 2500ms;
+/// Nearly all requests end within this multiple of the usual time that a request holds a slot.
+constexpr int typical_hold_factor = 2;
 /// Part of the grace period that is reserved for closing connections.
 constexpr auto close_margin = 700ms;
 
@@ -84,6 +86,16 @@
     return stop_requested_at_ + settings_.bounds.grace_period - close_margin;
 }
 
+bool node::usually_ends_by(duration mean_hold, time_point end) const
+{
+    return now_ + mean_hold * typical_hold_factor <= end;
+}
+
+bool node::lends_backend(duration mean_hold) const
+{
+    return !stopping_ || usually_ends_by(mean_hold, earliest_exit_at());
+}
+
 double node::random_fraction()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -221,6 +221,11 @@
     time_point earliest_exit_at() const;
     /// Time at which a stopping node exits even if requests are still in progress.
     time_point latest_exit_at() const;
+    /// True when a request that usually takes `mean_hold` and starts now ends by `end`.
+    bool usually_ends_by(duration mean_hold, time_point end) const;
+    /// True when the backend server beside this node takes a request that usually takes
+    /// `mean_hold`: a stopping node lends it to the other nodes until shortly before it exits.
+    bool lends_backend(duration mean_hold) const;
 
     // node_calls.cpp: requests from local clients.
     service_id choose_service(const route& route_config);
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -21,8 +21,6 @@
 /// An answer is overdue after this multiple of the usual time that a request holds a slot; a few
 /// percent of normal requests take longer.
 constexpr int overdue_hold_factor = 3;
-/// Nearly all requests end within this multiple of the usual time that a request holds a slot.
-constexpr int typical_hold_factor = 2;
 /// Owners with a failure ratio at or above this receive no hedged requests.
 constexpr double max_hedge_failure_ratio = 0.3;
 /// Maximum number of owners that are asked for a place in their queue.
@@ -194,14 +192,15 @@
     const auto options = candidates(call);
     return !options.empty() &&
            std::all_of(options.begin(), options.end(), [this](const auto& option) {
-               return now_ + option.mean_hold * typical_hold_factor > latest_exit_at();
+               return !usually_ends_by(option.mean_hold, latest_exit_at());
            });
 }
 
 std::vector<candidate> node::candidates(const call_state& call) const
 {
     std::vector<candidate> options;
-    if (own_backend_ && !stopping_ && can_serve(*own_backend_, call)) {
+    const auto own_hold = queue_.hold(call.route_config->name, queue_.mean_hold());
+    if (own_backend_ && lends_backend(own_hold) && can_serve(*own_backend_, call)) {
         candidate option;
         option.node = settings_.node;
         option.backend = own_backend_->id;
@@ -211,13 +210,13 @@
         option.running = queue_.running();
         option.waiting = queue_.waiting();
         option.slots = queue_.slots();
-        option.mean_hold = queue_.hold(call.route_config->name, queue_.mean_hold());
+        option.mean_hold = own_hold;
         option.failure_ratio = failure_ratio_;
         option.tried = call.tried_backends.contains(own_backend_->id);
         options.push_back(std::move(option));
     }
     for (const auto& [name, remote] : peers_.all()) {
-        if (!remote.link || !remote.app || remote.stopping || is_unresponsive(remote) ||
+        if (!remote.link || !remote.app || is_unresponsive(remote) ||
             !can_serve(*remote.app, call)) {
             continue;
         }
@@ -239,6 +238,9 @@
         if (remote.app->cold_until > now_) {
             option.mean_hold *= 2;
         }
+        if (remote.stopping && !usually_ends_by(option.mean_hold, remote.lends_until)) {
+            continue;
+        }
         option.failure_ratio = remote.load.failure_ratio;
         option.tried = call.tried_backends.contains(remote.app->id);
         options.push_back(std::move(option));
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -51,7 +51,8 @@
     run.deadline = now_ + milliseconds(run_frame.time_left_ms);
     run.safe = run_frame.safe;
     run.offered_at = now_;
-    const bool stopping = stopping_ && origin.link;
+    const bool stopping =
+        origin.link && !lends_backend(queue_.hold(run.route_name, queue_.mean_hold()));
     const bool usable =
         own_backend_ && own_backend_->id == run.backend && own_backend_->accepts_requests();
     slot_request slot;
@@ -151,7 +152,8 @@
 
 bool node::has_free_slot() const
 {
-    return own_backend_ && own_backend_->accepts_requests() && !stopping_ && queue_.has_free_slot();
+    return own_backend_ && own_backend_->accepts_requests() && lends_backend(queue_.mean_hold()) &&
+           queue_.has_free_slot();
 }
 
 void node::announce_free_slots()
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -252,6 +252,10 @@
     }
     state.__set_load(current_load(route_id{}));
     state.__set_stopping(stopping_);
+    if (stopping_ && now_ < earliest_exit_at()) {
+        state.__set_lends_for_ms(
+            static_cast<std::int32_t>((earliest_exit_at() - now_) / milliseconds(1)));
+    }
     state.__set_config_version(config_ ? config_->version().value() : 0);
     state.__set_store_fresh(store_fresh_);
     state.__set_reads_late(reads_late_);
@@ -521,6 +525,7 @@
     from.heard_at = now_;
     from.revision = state.revision;
     from.stopping = state.stopping;
+    from.lends_until = now_ + milliseconds(state.lends_for_ms);
     from.config_version = state.config_version;
     const bool was_reading_for_zone = is_reading_for_zone(from);
     from.store_fresh = state.store_fresh;
--- a/src/libmesh/stopping_test.cpp
+++ b/src/libmesh/stopping_test.cpp
@@ -148,3 +148,62 @@
         }
     }
 }
+
+namespace {
+
+struct handover_load_case {
+    const char* name;
+    milliseconds request_duration;
+    int requests_per_second;
+};
+
+std::ostream& operator<<(std::ostream& out, const handover_load_case& scenario)
+{
+    return out << scenario.name;
+}
+
+// Three backend servers of four slots; two of them cannot serve the load.
+const std::vector<handover_load_case> handover_load_cases{
+    {"short requests", 50ms, 200},
+    {"requests of 200 ms", 200ms, 50},
+};
+
+} // namespace
+
+// The clients have noticed the stop; the backend server beside the stopping node is still there.
+BOOST_DATA_TEST_CASE(a_stopping_node_lends_its_backend_server_until_it_leaves,
+                     boost::unit_test::data::make(handover_load_cases), scenario)
+{
+    constexpr std::size_t nodes = 3;
+    constexpr auto lending_time = 1500ms;
+    const duration pause = duration(1s) / scenario.requests_per_second;
+    simulated_mesh net(nodes, 1);
+    net.configure(true, 1500ms, 600ms);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.app(i).work = scenario.request_duration;
+        net.check_in(i);
+    }
+    const auto send_for = [&](const std::string& prefix, duration span, std::size_t first) {
+        for (int i = 0; pause * i < span; ++i) {
+            const auto at = first + static_cast<std::size_t>(i) % (nodes - first);
+            net.send(at, prefix + std::to_string(i), 1500ms);
+            net.run_for(pause);
+        }
+    };
+    send_for("before", 2s, 0);
+    net.run_for(1s);
+    net.results().clear();
+    net.stop(0);
+    const int arrivals = net.app(0).arrivals;
+    send_for("during", lending_time, 1);
+    BOOST_TEST(net.app(0).arrivals > arrivals);
+    net.run_for(2s);
+    BOOST_TEST(net.is_dead(0));
+    for (const auto& [id, result] : net.results()) {
+        BOOST_TEST_CONTEXT(id << " got " << result.status)
+        {
+            BOOST_TEST(result.status == 200);
+            BOOST_TEST((result.took <= 600ms));
+        }
+    }
+}
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -1496,6 +1496,10 @@
   this->stopping = val;
 }
 
+void node_state::__set_lends_for_ms(const int32_t val) {
+  this->lends_for_ms = val;
+}
+
 void node_state::__set_config_version(const int64_t val) {
   this->config_version = val;
 }
@@ -1575,6 +1579,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lends_for_ms);
+          this->__isset.lends_for_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->config_version);
@@ -1649,6 +1661,10 @@
   xfer += oprot->writeBool(this->reads_late);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lends_for_ms", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->lends_for_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1661,6 +1677,7 @@
   swap(a.backend, b.backend);
   swap(a.load, b.load);
   swap(a.stopping, b.stopping);
+  swap(a.lends_for_ms, b.lends_for_ms);
   swap(a.config_version, b.config_version);
   swap(a.store_fresh, b.store_fresh);
   swap(a.reads_late, b.reads_late);
@@ -1673,6 +1690,7 @@
   backend = other25.backend;
   load = other25.load;
   stopping = other25.stopping;
+  lends_for_ms = other25.lends_for_ms;
   config_version = other25.config_version;
   store_fresh = other25.store_fresh;
   reads_late = other25.reads_late;
@@ -1684,6 +1702,7 @@
   backend = std::move(other26.backend);
   load = std::move(other26.load);
   stopping = other26.stopping;
+  lends_for_ms = other26.lends_for_ms;
   config_version = other26.config_version;
   store_fresh = other26.store_fresh;
   reads_late = other26.reads_late;
@@ -1695,6 +1714,7 @@
   backend = other27.backend;
   load = other27.load;
   stopping = other27.stopping;
+  lends_for_ms = other27.lends_for_ms;
   config_version = other27.config_version;
   store_fresh = other27.store_fresh;
   reads_late = other27.reads_late;
@@ -1707,6 +1727,7 @@
   backend = std::move(other28.backend);
   load = std::move(other28.load);
   stopping = other28.stopping;
+  lends_for_ms = other28.lends_for_ms;
   config_version = other28.config_version;
   store_fresh = other28.store_fresh;
   reads_late = other28.reads_late;
@@ -1721,6 +1742,7 @@
   out << ", " << "backend="; (__isset.backend ? (out << to_string(backend)) : (out << "<null>"));
   out << ", " << "load=" << to_string(load);
   out << ", " << "stopping=" << to_string(stopping);
+  out << ", " << "lends_for_ms=" << to_string(lends_for_ms);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "store_fresh=" << to_string(store_fresh);
   out << ", " << "reads_late=" << to_string(reads_late);
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -607,12 +607,13 @@
 std::ostream& operator<<(std::ostream& out, const backend_report& obj);
 
 typedef struct _node_state__isset {
-  _node_state__isset() : sender(false), revision(false), backend(false), load(false), stopping(false), config_version(false), store_fresh(false), reads_late(false) {}
+  _node_state__isset() : sender(false), revision(false), backend(false), load(false), stopping(false), lends_for_ms(false), config_version(false), store_fresh(false), reads_late(false) {}
   bool sender :1;
   bool revision :1;
   bool backend :1;
   bool load :1;
   bool stopping :1;
+  bool lends_for_ms :1;
   bool config_version :1;
   bool store_fresh :1;
   bool reads_late :1;
@@ -628,6 +629,7 @@
   node_state() noexcept
              : revision(0),
                stopping(0),
+               lends_for_ms(0),
                config_version(0),
                store_fresh(0),
                reads_late(0) {
@@ -639,6 +641,7 @@
   backend_report backend;
   owner_load load;
   bool stopping;
+  int32_t lends_for_ms;
   int64_t config_version;
   bool store_fresh;
   bool reads_late;
@@ -655,6 +658,8 @@
 
   void __set_stopping(const bool val);
 
+  void __set_lends_for_ms(const int32_t val);
+
   void __set_config_version(const int64_t val);
 
   void __set_store_fresh(const bool val);
@@ -675,6 +680,8 @@
       return false;
     if (!(stopping == rhs.stopping))
       return false;
+    if (!(lends_for_ms == rhs.lends_for_ms))
+      return false;
     if (!(config_version == rhs.config_version))
       return false;
     if (!(store_fresh == rhs.store_fresh))
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -100,6 +100,8 @@
   3: optional backend_report backend
   4: owner_load load
   5: bool stopping
+  // While stopping: the time for which its backend server still takes requests of other nodes.
+  9: i32 lends_for_ms
   6: i64 config_version
   // True while the sender reads the platform's store itself and its reads succeed.
   7: bool store_fresh
