--- a/src/libmesh/gross_fault.cpp
+++ b/src/libmesh/gross_fault.cpp
@@ -74,7 +74,7 @@
 std::optional<std::string> find_gross_fault(const recent_outcomes& old_release,
                                             const recent_outcomes& new_release)
 {
-    if (far_exceeds(old_release.failed(), new_release.failed())) {
+    if (far_exceeds(old_release.failure_counts(), new_release.failure_counts())) {
         return "the new release's failure ratio is far above the old release's";
     }
     if (new_release.good >= min_answers && old_release.good >= min_answers &&
@@ -90,16 +90,16 @@
 {
     if (!in_doubt_since_) {
         if (now < alike_until_ ||
-            !far_exceeds(recent.old_release.rejected(), recent.new_release.rejected())) {
+            !far_exceeds(recent.old_release.shed_counts(), recent.new_release.shed_counts())) {
             return verdict::alike;
         }
         *this = {};
         in_doubt_since_ = now;
         return verdict::in_doubt;
     }
-    old_release_.add(window.old_release.rejected());
-    new_release_.add(window.new_release.rejected());
-    at_same_time_.add(window.old_release.rejected(), window.new_release.rejected());
+    old_release_.add(window.old_release.shed_counts());
+    new_release_.add(window.new_release.shed_counts());
+    at_same_time_.add(window.old_release.shed_counts(), window.new_release.shed_counts());
     if (now < *in_doubt_since_ + doubt_time) {
         return verdict::in_doubt;
     }
@@ -125,13 +125,14 @@
     if (new_release.bad < suspect_min_failures) {
         return false;
     }
-    return new_release.failed().ratio() >
-           old_release.failed().ratio() * suspect_ratio_factor + suspect_ratio_margin;
+    return new_release.failure_counts().ratio() >
+           old_release.failure_counts().ratio() * suspect_ratio_factor + suspect_ratio_margin;
 }
 
 bool fails_often(const recent_outcomes& release)
 {
-    return release.bad >= suspect_min_failures && release.failed().ratio() > often_failing_ratio;
+    return release.bad >= suspect_min_failures &&
+           release.failure_counts().ratio() > often_failing_ratio;
 }
 
 } // namespace camphor::mesh
--- a/src/libmesh/gross_fault.h
+++ b/src/libmesh/gross_fault.h
@@ -32,9 +32,9 @@
 
     double total() const { return good + bad + shed; }
     /// Requests that were run, and how many of them failed.
-    trial_counts failed() const { return {good + bad, bad}; }
+    trial_counts failure_counts() const { return {good + bad, bad}; }
     /// All requests, and how many of them were shed.
-    trial_counts rejected() const { return {total(), shed}; }
+    trial_counts shed_counts() const { return {total(), shed}; }
     void add(const recent_outcomes& added);
     /// Multiplies all counts by `factor`, in [0, 1].
     void decay(double factor);
