--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -453,9 +453,9 @@
     ++view.sequence;
     out.shares.push_back(make_share_frame(view, now));
     auto line = make_line("rollout.decided", view, evidence, now);
-    line.fields.emplace_back("share_before", std::to_string(before.value()));
-    line.fields.emplace_back("reason", decided.reason);
-    line.fields.emplace_back("evidence", decided.evidence);
+    line.fields.push_back({"share_before", std::to_string(before.value())});
+    line.fields.push_back({"reason", decided.reason});
+    line.fields.push_back({"evidence", decided.evidence});
     out.lines.push_back(std::move(line));
 }
 
