--- a/src/libmesh/rollout_handover_test.cpp
+++ b/src/libmesh/rollout_handover_test.cpp
@@ -60,27 +60,19 @@
 {
     simulated_mesh net(node_count);
     begin_rollout(net);
-    int sent = 0;
-    for (int tick = 0; tick < rollout_duration / 1s * requests_per_second; ++tick) {
-        const int second = tick / requests_per_second;
-        if (tick % requests_per_second == 0) {
-            for (std::size_t i = 0; i < node_count; ++i) {
-                net.check_in(i);
-                const bool is_bad = sample.fails_from_second &&
-                                    second >= *sample.fails_from_second && i >= first_new_node;
-                net.app(i).failure_period = is_bad ? 2 : 0;
-            }
-            for (const auto& [killed_at, killed] : sample.kills) {
-                if (killed_at == second) {
-                    net.kill(killed);
-                    net.after(restart_delay, [&net, node = killed] { net.restart_node(node); });
-                }
+    const int sent = send_during_rollout(net, [&](int second) {
+        for (std::size_t i = 0; i < node_count; ++i) {
+            const bool is_bad = sample.fails_from_second && second >= *sample.fails_from_second &&
+                                i >= first_new_node;
+            net.app(i).failure_period = is_bad ? 2 : 0;
+        }
+        for (const auto& [killed_at, killed] : sample.kills) {
+            if (killed_at == second) {
+                net.kill(killed);
+                net.after(restart_delay, [&net, node = killed] { net.restart_node(node); });
             }
         }
-        net.send(static_cast<std::size_t>(tick) % node_count, "m" + std::to_string(tick));
-        ++sent;
-        net.run_for(duration(1s) / requests_per_second);
-    }
+    });
     BOOST_REQUIRE(!net.statuses().empty());
     BOOST_TEST((net.statuses().back().phase == sample.expected));
     if (sample.expected == rollout_phase::rolled_back) {
--- a/src/libmesh/rollout_trouble_test.cpp
+++ b/src/libmesh/rollout_trouble_test.cpp
@@ -111,24 +111,16 @@
 {
     simulated_mesh net(node_count);
     begin_rollout(net);
-    int sent = 0;
-    for (int tick = 0; tick < whole_rollout * requests_per_second; ++tick) {
-        const int second = tick / requests_per_second;
-        if (tick % requests_per_second == 0) {
-            check_in_all(net);
-            const bool troubled = second >= sample.from_second && second < sample.end_second;
-            for (std::size_t i = 0; i < node_count; ++i) {
-                const bool is_new = i >= first_new_node;
-                const auto& kind = is_new ? sample.new_release : sample.old_release;
-                const bool applies = troubled || (is_new && !sample.new_recovers);
-                net.app(i).failure_period = applies ? kind.failure_period : 0;
-                net.app(i).shed_period = applies ? kind.shed_period : 0;
-            }
+    const int sent = send_during_rollout(net, [&](int second) {
+        const bool troubled = second >= sample.from_second && second < sample.end_second;
+        for (std::size_t i = 0; i < node_count; ++i) {
+            const bool is_new = i >= first_new_node;
+            const auto& kind = is_new ? sample.new_release : sample.old_release;
+            const bool applies = troubled || (is_new && !sample.new_recovers);
+            net.app(i).failure_period = applies ? kind.failure_period : 0;
+            net.app(i).shed_period = applies ? kind.shed_period : 0;
         }
-        net.send(static_cast<std::size_t>(tick) % node_count, "m" + std::to_string(tick));
-        ++sent;
-        net.run_for(duration(1s) / requests_per_second);
-    }
+    });
     BOOST_REQUIRE(!net.statuses().empty());
     BOOST_TEST((net.statuses().back().phase == sample.expected));
     if (sample.expected == rollout_phase::rolled_back) {
--- a/src/libmesh/test_rollout.h
+++ b/src/libmesh/test_rollout.h
@@ -3,6 +3,8 @@
 
 #include "libmesh/test_mesh_net.h"
 
+#include <functional>
+
 namespace camphor::mesh::test {
 
 /// The first `first_new_node` of `node_count` backend servers have the old release "v1", the others
@@ -50,4 +52,20 @@
     net.order_rollout("v2", rollout_duration);
 }
 
+/// Sends requests to all nodes in turn for the whole roll-out. Calls `each_second` at the start of
+/// each second, counted from 0. Returns the number of requests sent.
+inline int send_during_rollout(simulated_mesh& net, const std::function<void(int)>& each_second)
+{
+    const int requests = rollout_duration / 1s * requests_per_second;
+    for (int sent = 0; sent < requests; ++sent) {
+        if (sent % requests_per_second == 0) {
+            check_in_all(net);
+            each_second(sent / requests_per_second);
+        }
+        net.send(static_cast<std::size_t>(sent) % node_count, "m" + std::to_string(sent));
+        net.run_for(duration(1s) / requests_per_second);
+    }
+    return requests;
+}
+
 } // namespace camphor::mesh::test
