--- a/review/common/mesh.py
+++ b/review/common/mesh.py
@@ -71,11 +71,6 @@
             self._set((table, "", key), base64.b64encode(json.dumps(document).encode()).decode())
             self.changed.notify_all()
 
-    def get(self, table, key):
-        with self.changed:
-            row = self.rows.get((table, "", key))
-        return json.loads(base64.b64decode(row["value"])) if row else None
-
     def _set(self, identity, value):
         table, part, key = identity
         row = {"table": table, "part": part, "key": key, "value": value, "ver": self.version}
@@ -399,20 +394,20 @@
         self.upstreams.append(machine.upstream)
         return machine
 
-    def put_config(self, version, routes, services, limits=None):
+    def put_config(self, version, routes, services):
         """`routes` are (name, host, prefix, kind, timeout_ms, target_latency_ms, service)."""
         columns = ["name", "host", "prefix", "kind", "timeout_ms", "target_latency_ms", "priority",
                    "weighted_services", "max_attempts", "service"]
         rows = [[name, host, prefix, kind, timeout, target, 1, None, 2, service]
                 for name, host, prefix, kind, timeout, target, service in routes]
-        default_limits = {"max_header_bytes": 16384, "max_body_bytes": 67108864,
-                          "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 67108864,
+                  "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         self.store.put("op", "config", {
             "version": f"r{version}", "routes": {"columns": columns, "rows": rows},
             "services": {"columns": ["name", "health_check_path", "max_connections", "protocol",
                                      "tls"],
                          "rows": [[name, "/healthz", 110, "h1", False] for name in services]},
-            "limits": default_limits | (limits or {})})
+            "limits": limits})
         self.record.write(f"config r{version} acknowledged by the store")
 
     def start(self):
@@ -514,9 +509,9 @@
         limit.start()
         try:
             held = case(mesh)
-        except CannotRun as error:
-            mesh.record.write(f"cannot run: {error}")
-            print(f"cannot run: {error}")
+        except Exception as error:  # whatever it is, it says nothing about the rule
+            mesh.record.write(f"cannot run: {error!r}")
+            print(f"cannot run: {error!r}")
         finally:
             mesh.stop()
             limit.cancel()
