Do not undo an attempt by a time limit that expired before it

Cause: the handler of an expired timer is not stopped by cancel(). After a pause of the process a connection and its time limit complete in the same turn of the event loop: the request was written and then reported as not sent, so that another backend server ran it again. Ruled out: a reused connection, a repeat by the client, a hedge (docs/incidents/2026-12-06-twice-freeze.md). Change: cancellable_timer, used wherever a limit had the fault: connections to backend servers on both interfaces, links between nodes, client connections. A request carries its deadline to the connection and is not sent after it; the backend server is told what is left then, not before connecting. Conclusion: whichever comes first, connection or limit, settles the attempt.

--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -79,6 +79,8 @@
 enum class backend_request_failure : std::uint8_t {
     /// No byte was sent, because no connection could be opened.
     unsent,
+    /// No byte was sent, because the deadline had passed before a connection was open.
+    expired,
     /// The connection closed before the complete answer arrived.
     broken,
     /// The received data is not a valid answer.
@@ -233,7 +235,8 @@
     request_ptr content;
     std::string caller_service;
     backend_id expected;
-    milliseconds time_left{};
+    /// An answer after this time is useless; the request is not sent any more then.
+    time_point deadline{};
     /// The request must run at most once: do not reuse an idle connection, which the backend
     /// server may have closed meanwhile.
     bool unsafe = false;
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -109,7 +109,7 @@
     command.content = run.content;
     command.caller_service = run.fingerprint.caller.value();
     command.expected = run.backend;
-    command.time_left = std::chrono::duration_cast<milliseconds>(run.deadline - now_);
+    command.deadline = run.deadline;
     command.unsafe = !run.safe;
     effects_.emplace_back(std::move(command));
 }
@@ -274,6 +274,10 @@
     if (found == runs_.end()) {
         return;
     }
+    if (input.kind == backend_request_failure::expired) {
+        finish_run(input.run, {mesh_wire::run_outcome::refused, nullptr, "deadline", {}}, false);
+        return;
+    }
     if (input.refused_connection) {
         retire_backend(backend_state::unreachable, "it refuses connections");
     }
--- a/src/libshell/peer_link.cpp
+++ b/src/libshell/peer_link.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio.hpp>
 
+#include "libshell/cancellable_timer.h"
 #include "libshell/peer_link.h"
 #include "libshell/wire_codec.h"
 
@@ -74,7 +75,7 @@
 public:
     outgoing(std::shared_ptr<implementation> link, peer_address address)
         : link_(std::move(link)), address_(std::move(address)), socket_(link_->io),
-          timer_(link_->io)
+          timer_(link_->io.get_executor())
     {
     }
 
@@ -189,12 +190,7 @@
 
     void arm(std::chrono::steady_clock::duration limit)
     {
-        timer_.expires_after(limit);
-        timer_.async_wait([self = shared_from_this()](error_code error) {
-            if (!error) {
-                self->fail();
-            }
-        });
+        timer_.start(limit, [self = shared_from_this()] { self->fail(); });
     }
 
     /// Drops what waits; the sender's next frame opens a new connection.
@@ -214,7 +210,7 @@
     std::shared_ptr<implementation> link_;
     peer_address address_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    cancellable_timer timer_;
     state state_ = state::idle;
     /// Tells a connect that was given up from the one in progress.
     std::uint64_t attempt_ = 0;
@@ -229,7 +225,7 @@
 class peer_link::implementation::incoming : public std::enable_shared_from_this<incoming> {
 public:
     incoming(std::shared_ptr<implementation> link, tcp::socket socket)
-        : link_(std::move(link)), socket_(std::move(socket)), timer_(link_->io)
+        : link_(std::move(link)), socket_(std::move(socket)), timer_(link_->io.get_executor())
     {
         ++link_->open_incoming;
         error_code ignored;
@@ -241,9 +237,8 @@
 
     void read_header()
     {
-        timer_.expires_after(2 * idle_limit);
-        timer_.async_wait([weak = weak_from_this()](error_code error) {
-            if (const auto self = weak.lock(); self && !error) {
+        timer_.start(2 * idle_limit, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
                 self->close();
             }
         });
@@ -343,7 +338,7 @@
 
     std::shared_ptr<implementation> link_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    cancellable_timer timer_;
     std::string from_;
     std::array<std::uint8_t, frame_header_bytes> header_{};
     std::string body_;
--- a/src/libshell/test_io.h
+++ b/src/libshell/test_io.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace camphor::shell::test {
@@ -37,6 +38,53 @@
     return acceptor.local_endpoint().port();
 }
 
+/// Listens with a full queue of new connections, so that the system drops the opening packet of the
+/// next one and sends it again about a second later.
+class full_listener {
+public:
+    full_listener() : acceptor_(io_), filler_(io_)
+    {
+        const tcp::endpoint any_port(asio::ip::make_address("127.0.0.1"), 0);
+        acceptor_.open(any_port.protocol());
+        acceptor_.bind(any_port);
+        acceptor_.listen(0);
+        filler_.connect(acceptor_.local_endpoint());
+    }
+
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+    /// Stalls the caller, and the event loop that it runs, until the connection that `io` has begun
+    /// is open and a time limit of one second has expired; neither has been handled then.
+    tcp::socket accept_during_pause(asio::io_context& io)
+    {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(50));
+        acceptor_.accept();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+        return acceptor_.accept();
+    }
+
+private:
+    asio::io_context io_;
+    tcp::acceptor acceptor_;
+    tcp::socket filler_;
+};
+
+/// Runs the loop while handlers are due; returns what has arrived at the socket.
+inline std::string read_available(asio::io_context& io, tcp::socket& socket)
+{
+    std::string received;
+    for (int i = 0; i < 20; ++i) {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(5));
+        std::array<char, 4'096> part{};
+        if (socket.available() > 0) {
+            received.append(part.data(), socket.read_some(asio::buffer(part)));
+        }
+    }
+    return received;
+}
+
 /// A client that writes bytes and collects what comes back.
 class raw_client {
 public:
--- a/src/libshell/upstream_attempt.cpp
+++ b/src/libshell/upstream_attempt.cpp
@@ -21,7 +21,8 @@
 
 upstream_attempt::upstream_attempt(asio::io_context& io, upstream_pool& pool,
                                    attempt_options options, attempt_owner& owner)
-    : io_(io), pool_(pool), options_(std::move(options)), owner_(&owner)
+    : io_(io), pool_(pool), options_(std::move(options)), owner_(&owner),
+      connect_timer_(io.get_executor())
 {
     reset_parser();
 }
@@ -63,12 +64,8 @@
     }
     attach(std::make_shared<http_channel>(asio::ip::tcp::socket(io_), options_.head_bytes));
     channel_->output() = std::move(request);
-    connect_timer_.emplace(io_, options_.connect_timeout);
-    connect_timer_->async_wait([self = shared_from_this()](error_code cancelled) {
-        if (!cancelled) {
-            self->fail(attempt_failure::not_sent);
-        }
-    });
+    connect_timer_.start(options_.connect_timeout,
+                         [self = shared_from_this()] { self->fail(attempt_failure::not_sent); });
     const asio::ip::tcp::endpoint endpoint(address, options_.address.port);
     channel_->socket().async_connect(
         endpoint, [self = shared_from_this()](error_code failed) { self->on_connected(failed); });
@@ -76,7 +73,7 @@
 
 void upstream_attempt::on_connected(error_code error)
 {
-    connect_timer_.reset();
+    connect_timer_.cancel();
     if (owner_ == nullptr) {
         return;
     }
@@ -238,7 +235,7 @@
 void upstream_attempt::abandon()
 {
     owner_ = nullptr;
-    connect_timer_.reset();
+    connect_timer_.cancel();
     if (channel_) {
         channel_->set_owner(nullptr);
         channel_->close();
--- a/src/libshell/upstream_attempt.h
+++ b/src/libshell/upstream_attempt.h
@@ -1,12 +1,12 @@
 // One attempt of a call at a backend server or another node.
 #pragma once
 
+#include "libshell/cancellable_timer.h"
 #include "libshell/http_channel.h"
 #include "libshell/http_head.h"
 #include "libshell/upstream_pool.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <memory>
@@ -91,7 +91,7 @@
     /// Null after abandon() or fail().
     attempt_owner* owner_;
     std::shared_ptr<http_channel> channel_;
-    std::optional<boost::asio::steady_timer> connect_timer_;
+    cancellable_timer connect_timer_;
     std::optional<response_parser> parser_;
     std::uint64_t sent_before_ = 0;
     /// Bytes of the heads so far, those of interim answers included.
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -5,9 +5,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "libshell/cancellable_timer.h"
 #include "libshell/http_head.h"
 #include "libshell/tcp_options.h"
 #include "libsidecar/app_client.h"
+#include "libsidecar/monotonic_clock.h"
 #include "platform/header_names.h"
 
 #include <algorithm>
@@ -130,7 +132,7 @@
 class app_client::implementation::connection : public std::enable_shared_from_this<connection> {
 public:
     explicit connection(std::shared_ptr<implementation> owner)
-        : owner_(std::move(owner)), socket_(owner_->io), timer_(owner_->io)
+        : owner_(std::move(owner)), socket_(owner_->io), timer_(owner_->io.get_executor())
     {
     }
 
@@ -178,7 +180,7 @@
 
     std::shared_ptr<implementation> owner_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    shell::cancellable_timer timer_;
     boost::beast::flat_buffer input_{max_input_bytes};
     std::optional<parser> parser_;
     mesh::send_to_backend request_;
@@ -200,9 +202,8 @@
 
 void app_client::implementation::connection::connect(const std::function<void(error_code)>& done)
 {
-    timer_.expires_after(connect_timeout);
-    timer_.async_wait([weak = weak_from_this(), done](error_code error) {
-        if (const auto self = weak.lock(); self && !error && !self->closed_) {
+    timer_.start(connect_timeout, [weak = weak_from_this(), done] {
+        if (const auto self = weak.lock(); self && !self->closed_) {
             done(asio::error::timed_out);
         }
     });
@@ -269,9 +270,20 @@
 
 void app_client::implementation::connection::write()
 {
+    // Connecting takes up to connect_timeout, and longer when the process stood still.
+    const auto time_left =
+        std::chrono::duration_cast<mesh::milliseconds>(request_.deadline - monotonic_now());
+    if (time_left.count() <= 0) {
+        asio::post(owner_->io, [self = shared_from_this()] {
+            if (!self->closed_) {
+                self->fail(mesh::backend_request_failure::expired);
+            }
+        });
+        return;
+    }
     const auto& content = *request_.content;
     output_ = content.method + " " + content.target + " HTTP/1.1\r\n" + content.head;
-    shell::add_field(output_, header::time_left, std::to_string(request_.time_left.count()));
+    shell::add_field(output_, header::time_left, std::to_string(time_left.count()));
     shell::add_field(output_, header::expected_backend, request_.expected.value());
     shell::add_field(output_, header::caller_service, request_.caller_service);
     if (!content.body.empty() || (content.method != "GET" && content.method != "HEAD")) {
--- a/src/libsidecar/app_client_test.cpp
+++ b/src/libsidecar/app_client_test.cpp
@@ -7,6 +7,8 @@
 #include "libshell/test_io.h"
 #include "libshell/test_streams.h"
 #include "libsidecar/app_client.h"
+#include "libsidecar/monotonic_clock.h"
+#include "platform/header_names.h"
 
 #include <memory>
 #include <ostream>
@@ -130,7 +132,8 @@
     std::size_t connections_ = 0;
 };
 
-mesh::send_to_backend make_request(std::uint64_t run, const std::string& id = "r1")
+mesh::send_to_backend make_request(std::uint64_t run, const std::string& id = "r1",
+                                   std::chrono::milliseconds time_left = std::chrono::seconds(2))
 {
     auto content = std::make_shared<mesh::request>();
     content->method = "GET";
@@ -141,7 +144,7 @@
     out.run = mesh::run_id{run};
     out.content = std::move(content);
     out.expected = backend_id{"b"};
-    out.time_left = std::chrono::seconds(2);
+    out.deadline = monotonic_now() + time_left;
     return out;
 }
 
@@ -362,6 +365,56 @@
 
 namespace {
 
+struct late_connection_case {
+    const char* name;
+    /// Time until the deadline when the request is handed over.
+    std::chrono::milliseconds time_left;
+    bool is_sent;
+};
+
+std::ostream& operator<<(std::ostream& out, const late_connection_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<late_connection_case> late_connection_cases{
+    {"before its deadline a request is sent", std::chrono::seconds(5), true},
+    {"after its deadline a request is not sent", std::chrono::milliseconds(1'200), false},
+};
+
+} // namespace
+
+// Guards against unsafe requests that run twice: one that was written is not reported as not sent
+// because the time limit of its connection expired during a pause of the process.
+BOOST_DATA_TEST_CASE(a_late_connection_is_used_or_given_up_but_not_both,
+                     boost::unit_test::data::make(late_connection_cases), sample)
+{
+    asio::io_context io{1};
+    shell::test::full_listener server;
+    std::vector<mesh::backend_request_failed> failures;
+    app_client client(io, {"127.0.0.1", server.port()}, [&](const mesh::event& event) {
+        if (const auto* failed = std::get_if<mesh::backend_request_failed>(&event)) {
+            failures.push_back(*failed);
+        }
+    });
+    auto request = make_request(1, "r1", sample.time_left);
+    request.unsafe = true;
+    client.send(request);
+    auto accepted = server.accept_during_pause(io);
+    const auto received = shell::test::read_available(io, accepted);
+    BOOST_TEST(received.empty() == !sample.is_sent);
+    BOOST_TEST(failures.size() == (sample.is_sent ? 0U : 1U));
+    for (const auto& failed : failures) {
+        BOOST_TEST((failed.kind == mesh::backend_request_failure::unsent ||
+                    failed.kind == mesh::backend_request_failure::expired));
+    }
+    // The backend server is told what is left now, not what was left before the pause.
+    const auto time_left_before = std::string(platform::header::time_left) + ": 5";
+    BOOST_TEST(received.find(time_left_before) == std::string::npos);
+}
+
+namespace {
+
 bool reaches_connections(asio::io_context& io, const scripted_server& server, std::size_t expected)
 {
     return run_long(io, [&] { return server.connections() == expected; });
--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -221,12 +221,7 @@
         closing_ = true;
         error_code ignored;
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
-        timer_.expires_after(linger_timeout);
-        timer_.async_wait([self = shared_from_this()](error_code timer_error) {
-            if (!timer_error) {
-                self->close_now();
-            }
-        });
+        timer_.start(linger_timeout, [self = shared_from_this()] { self->close_now(); });
         discard_input();
         return;
     }
@@ -236,10 +231,9 @@
 
 void http_connection::arm_idle_timer()
 {
-    timer_.expires_after(limits_.idle_timeout);
-    timer_.async_wait([weak = weak_from_this()](error_code error) {
+    timer_.start(limits_.idle_timeout, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (!error && self && self->pending_.empty()) {
+        if (self && self->pending_.empty()) {
             self->close_now();
         }
     });
--- a/src/libsidecar/http_listener.h
+++ b/src/libsidecar/http_listener.h
@@ -8,6 +8,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "libshell/cancellable_timer.h"
+
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -97,7 +99,7 @@
     void close_now();
 
     boost::asio::ip::tcp::socket socket_;
-    boost::asio::steady_timer timer_;
+    shell::cancellable_timer timer_;
     const http_handlers& handlers_;
     http_limits limits_;
     request_counter& request_numbers_;
--- a/src/libsidecar/http_listener_test.cpp
+++ b/src/libsidecar/http_listener_test.cpp
@@ -87,6 +87,33 @@
     BOOST_TEST(requests == 0);
 }
 
+// Guards against a request that is dropped unanswered because the idle limit of its connection
+// expired before the process, which stood still, read it.
+BOOST_AUTO_TEST_CASE(a_request_that_came_before_the_idle_limit_is_noticed_is_answered)
+{
+    asio::io_context io{1};
+    const auto port = shell::test::free_port();
+    int requests = 0;
+    http_handlers handlers;
+    handlers.on_request = [&](const auto& from, std::uint64_t number, http_request&&) {
+        ++requests;
+        from->respond(number, {});
+    };
+    http_listener listener(io, "127.0.0.1", port, handlers);
+    http_limits limits;
+    limits.idle_timeout = std::chrono::milliseconds(100);
+    listener.set_limits(limits);
+    shell::test::raw_client client(io, port);
+    io.run_for(std::chrono::milliseconds(20));
+    // The head and the body arrive in two reads, with the expired limit between them.
+    client.write("POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n" +
+                 std::string(70'000, 'a'));
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    shell::test::run_until(io, [&] { return client.is_closed() || !client.received().empty(); });
+    BOOST_TEST(requests == 1);
+    BOOST_TEST(client.received().substr(0, 12) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(requests_of_two_listeners_get_their_own_answers)
 {
     asio::io_context io{1};
--- a/src/libsidecar/peer_links.cpp
+++ b/src/libsidecar/peer_links.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 
 #include "libmesh/frame_batch.h"
+#include "libshell/cancellable_timer.h"
 #include "libshell/tcp_options.h"
 #include "libshell/wire_codec.h"
 #include "libsidecar/peer_links.h"
@@ -53,7 +54,8 @@
 class peer_links::implementation::link : public std::enable_shared_from_this<link> {
 public:
     link(std::shared_ptr<implementation> owner, mesh::link_id id, tcp::socket socket)
-        : owner_(std::move(owner)), id_(id), socket_(std::move(socket)), timer_(owner_->io)
+        : owner_(std::move(owner)), id_(id), socket_(std::move(socket)),
+          timer_(owner_->io.get_executor())
     {
     }
 
@@ -66,9 +68,8 @@
             asio::post(owner_->io, [self = shared_from_this()] { self->close(); });
             return;
         }
-        timer_.expires_after(dial_timeout);
-        timer_.async_wait([weak = weak_from_this()](error_code error) {
-            if (const auto self = weak.lock(); self && !error) {
+        timer_.start(dial_timeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
                 self->close();
             }
         });
@@ -226,7 +227,7 @@
     std::shared_ptr<implementation> owner_;
     mesh::link_id id_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    shell::cancellable_timer timer_;
     std::optional<node_id> dialled_node_;
     std::string input_;
     std::string queued_;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -7,6 +7,7 @@
 
 #include "libshell/http_head.h"
 #include "libshell/metrics.h"
+#include "libsidecar/monotonic_clock.h"
 #include "libsidecar/node_metrics.h"
 #include "libsidecar/sidecar.h"
 #include "platform/boot_file.h"
@@ -43,11 +44,6 @@
 /// checked every 200 ms.
 constexpr auto timer_delay_threshold = 250ms;
 
-time_point monotonic_now()
-{
-    return time_point(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 /// Time since the machine started, including the time for which it was suspended.
 duration time_with_suspensions()
 {
