Keep departures of backend servers over a restart of all nodes

Cause: departures were kept in the memory of the node and of its peers only. After a kill of all nodes a check-in that had been delayed registered the backend server again. Ruled out: the order of check-ins (it is compared with what the process knows, nothing after a start), a peer that did not tell (all were killed). Change: departures stand in the node's row of the store and are acknowledged once they are there, or after 0.7 s; the row is written conditionally, and a check-in waits until an earlier process's departures are known, or for a second one while the store is away. A departure names one start, so that a late deregistration of an earlier one does no harm. Calls to the store no longer share a retry timer. Conclusion: what is acknowledged outlasts the processes, but for a store that is away as all nodes die.

--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -1,6 +1,7 @@
 // The other nodes of the mesh: their addresses, connections, backend servers and load.
 #pragma once
 
+#include "libmesh/departures.h"
 #include "libmesh/hold_time.h"
 #include "libmesh/messages.h"
 
@@ -51,13 +52,6 @@
     int sent_since = 0;
 };
 
-/// A backend server that announced that it leaves.
-struct departure {
-    /// Identifies its start; a later start under the same id has not left.
-    std::int64_t born = 0;
-    time_point at{};
-};
-
 /// Another node of the mesh.
 struct peer {
     mesh_wire::node_record record;
@@ -79,7 +73,7 @@
     std::optional<backend> app;
     /// Backend servers that left the node lately. Kept when the node restarts, since its new
     /// process does not know them.
-    std::map<backend_id, departure> departed;
+    departures departed;
     load_estimate load;
     /// Version of the configuration that the node reports; 0 before it has one.
     std::int64_t config_version = 0;
--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -51,6 +51,17 @@
     int slots = 0;
 };
 
+/// One start of a backend server.
+struct backend_start {
+    backend_id id;
+    /// Start time in milliseconds since the epoch; larger after a restart.
+    std::int64_t born = 0;
+    friend bool operator==(const backend_start&, const backend_start&) = default;
+};
+
+/// A call of the local backend server that is to be acknowledged.
+using check_in_id = strong_value<struct check_in_id_tag, std::uint64_t>;
+
 // Events.
 
 struct client_request {
@@ -100,6 +111,7 @@
 /// A check-in of the local backend server. A backend server sends one at its start and regularly
 /// after that; check-ins are ordered by (born, sequence).
 struct backend_checked_in {
+    check_in_id call;
     backend_id id;
     std::int64_t born = 0;
     std::int64_t sequence = 0;
@@ -111,7 +123,20 @@
 };
 
 struct backend_deregistered {
+    check_in_id call;
     backend_id id;
+    /// Start that leaves; none when the call does not state it.
+    std::optional<std::int64_t> born;
+};
+
+/// Backend servers that left this node, as an earlier process of it stored them.
+struct departures_read {
+    std::vector<backend_start> starts;
+};
+
+/// The store holds the departures of this revision.
+struct departures_stored {
+    std::int64_t revision = 0;
 };
 
 struct link_opened {
@@ -207,10 +232,11 @@
 
 using event =
     std::variant<client_request, client_disconnected, backend_answered, backend_not_listening,
-                 backend_request_failed, backend_checked_in, backend_deregistered, link_opened,
-                 link_closed, frame_arrived, config_read, rollout_order_read, rollout_status_read,
-                 rollout_status_written, nodes_listed, rows_read, crashes_read, crashes_written,
-                 timer_tick, machine_resumed, shutdown_requested, exit_imminent, bounds_changed>;
+                 backend_request_failed, backend_checked_in, backend_deregistered, departures_read,
+                 departures_stored, link_opened, link_closed, frame_arrived, config_read,
+                 rollout_order_read, rollout_status_read, rollout_status_written, nodes_listed,
+                 rows_read, crashes_read, crashes_written, timer_tick, machine_resumed,
+                 shutdown_requested, exit_imminent, bounds_changed>;
 
 // Effects.
 
@@ -278,6 +304,18 @@
     std::int64_t expected_version = 0;
 };
 
+/// Answers a call of the local backend server.
+struct acknowledge_check_in {
+    check_in_id call;
+};
+
+/// Writes the backend servers that left this node to the store, until that succeeds or a later
+/// revision replaces them.
+struct store_departures {
+    std::int64_t revision = 0;
+    std::vector<backend_start> starts;
+};
+
 /// Reads the quarantined requests from the store.
 struct read_crashes {};
 
@@ -305,10 +343,10 @@
 /// The shutdown that SIGTERM requested is complete: the process may exit.
 struct shutdown_complete {};
 
-using effect =
-    std::variant<deliver_answer, deliver_refusal, send_to_backend, abort_run, dial_peer,
-                 send_to_peer, close_link, set_store_reading, apply_rows, write_rollout_status,
-                 read_crashes, write_crashes, log_line, shutdown_complete>;
+using effect = std::variant<deliver_answer, deliver_refusal, send_to_backend, abort_run, dial_peer,
+                            send_to_peer, close_link, set_store_reading, apply_rows,
+                            write_rollout_status, acknowledge_check_in, store_departures,
+                            read_crashes, write_crashes, log_line, shutdown_complete>;
 using effect_list = std::vector<effect>;
 
 } // namespace camphor::mesh
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -196,6 +196,7 @@
     for (const auto run : queue_.expire(now_)) {
         finish_run(run, {mesh_wire::run_outcome::refused, nullptr, "deadline", {}}, false);
     }
+    acknowledge_overdue_departures();
     dial_disconnected_peers();
     detect_late_reads();
     elect_zone_reader();
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -12,6 +12,7 @@
 #include "libmesh/rollouts.h"
 #include "libmesh/slot_queue.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -177,6 +178,13 @@
         time_point at;
     };
 
+    struct pending_acknowledgement {
+        check_in_id call;
+        /// Revision of the departures that the store has to hold.
+        std::int64_t revision = 0;
+        time_point received_at{};
+    };
+
     struct service_in_zone {
         service_id service;
         zone_id zone;
@@ -196,6 +204,8 @@
     void handle(const backend_request_failed& input);
     void handle(const backend_checked_in& input);
     void handle(const backend_deregistered& input);
+    void handle(const departures_read& input);
+    void handle(const departures_stored& input);
     void handle(const link_opened& input);
     void handle(const link_closed& input);
     void handle(const frame_arrived& input);
@@ -273,9 +283,6 @@
     std::map<run_id, run_state>::iterator find_run(const run_origin& origin);
     void cancel_run(const run_origin& origin);
     void start_queued_runs();
-    bool is_stale_check_in(const backend_checked_in& input);
-    /// How long a delayed check-in of a backend server that left may arrive.
-    duration departure_memory() const;
     void update_failure_ratio(bool failed);
     void log_broken_run(const run_state& run, const std::string& reason);
     void record_release_result(const run_state& run, run_verdict verdict);
@@ -290,6 +297,20 @@
     mesh_wire::run_answer make_run_answer(const run_origin& origin, const run_result& result,
                                           const route_id& route_name) const;
 
+    // node_check_ins.cpp: check-ins and departures of the local backend server.
+    void accept_check_in(const backend_checked_in& input);
+    /// Whether the check-in can be trusted not to be a delayed one of a backend server that left.
+    bool is_current(const backend_checked_in& input) const;
+    /// Records a departure that the local backend server or another node announced.
+    void record_departure(const backend_start& start, time_point at);
+    /// Takes the local backend server out of use if a departure of it is known.
+    void retire_departed_backend();
+    /// Acknowledges a departure once the store holds it, or some time later.
+    void acknowledge_when_stored(check_in_id call);
+    void acknowledge_overdue_departures();
+    /// How long a departure with an unknown start keeps away every start under its id.
+    duration unknown_start_memory() const;
+
     // node_crashes.cpp: requests that may make backend servers crash.
     void record_lost_run(const run_state& run);
     /// Records that the backend server answered `run` and therefore has not ended.
@@ -401,9 +422,16 @@
 
     std::optional<backend> own_backend_;
     std::int64_t last_check_in_sequence_ = 0;
-    /// Backend servers that deregistered from this node since its start, and when. Guards against
-    /// a delayed check-in that would register one again.
-    std::map<backend_id, departure> departed_backends_;
+    departures departures_;
+    /// False until the departures that an earlier process of this node stored are known.
+    bool departures_known_ = false;
+    /// Latest check-in that was received before they were known.
+    std::optional<backend_checked_in> unconfirmed_check_in_;
+    /// Changes with each departure to be stored. Invariant: not below stored_departures_revision_.
+    std::int64_t departures_revision_ = 0;
+    std::int64_t stored_departures_revision_ = 0;
+    /// Calls that announced a departure and are not acknowledged yet, oldest first.
+    std::deque<pending_acknowledgement> pending_acknowledgements_;
     /// Runs that ended without an answer and after which the backend server has answered no other
     /// run.
     std::vector<lost_run> lost_runs_;
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -1,5 +1,5 @@
-// Runs on the local backend server: admission, queueing, answers and check-ins. Every request for
-// the local backend server passes through here.
+// Runs on the local backend server: admission, queueing and answers. Every request for the local
+// backend server passes through here.
 #include "libmesh/log_text.h"
 #include "libmesh/node.h"
 
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace camphor::mesh {
 
@@ -362,86 +361,6 @@
     runs_.erase(found);
 }
 
-bool node::is_stale_check_in(const backend_checked_in& input)
-{
-    std::erase_if(departed_backends_,
-                  [&](const auto& entry) { return now_ - entry.second.at > departure_memory(); });
-    const auto departed = departed_backends_.find(input.id);
-    return departed != departed_backends_.end() && input.born <= departed->second.born;
-}
-
-duration node::departure_memory() const
-{
-    // A backend server that left still serves for the drain timeout, and its delayed messages may
-    // arrive for seconds after that. A new start under the same id comes later.
-    return settings_.bounds.drain_timeout + settings_.bounds.grace_period;
-}
-
-void node::handle(const backend_checked_in& input)
-{
-    if (is_stale_check_in(input)) {
-        log(log_level::info, "backend.old_check_in", "",
-            {{"backend", input.id.value()},
-             {"sequence", std::to_string(input.sequence)},
-             {"reason", "it has deregistered"}});
-        return;
-    }
-    if (own_backend_ && std::make_pair(input.born, input.sequence) <=
-                            std::make_pair(own_backend_->born, last_check_in_sequence_)) {
-        log(log_level::info, "backend.old_check_in", "",
-            {{"backend", input.id.value()}, {"sequence", std::to_string(input.sequence)}});
-        return;
-    }
-    const bool is_new_start =
-        !own_backend_ || own_backend_->id != input.id || own_backend_->born != input.born;
-    last_check_in_sequence_ = input.sequence;
-    if (is_new_start && own_backend_) {
-        record_backend_end({own_backend_->id, own_backend_->born},
-                           "another backend server checked in");
-    }
-    backend reported;
-    reported.id = input.id;
-    reported.born = input.born;
-    reported.service = input.service;
-    reported.release = input.release;
-    reported.slots = input.slots;
-    reported.cold_until = now_ + input.cold_left;
-    if (is_new_start) {
-        log(log_level::info, "backend.started", "",
-            {{"backend", input.id.value()},
-             {"service", input.service.value()},
-             {"release", input.release.value()},
-             {"slots", std::to_string(input.slots)}});
-        queue_.reset_hold_times();
-        queue_.set_untracked_running(0);
-        failure_ratio_ = 0;
-        refuse_queued_runs("no_backend");
-    } else if (own_backend_->state == backend_state::gone ||
-               own_backend_->state == backend_state::draining) {
-        // A backend server that is draining or gone does not become ready again without a restart.
-        return;
-    }
-    const bool is_changed = is_new_start || own_backend_->state != backend_state::ready ||
-                            own_backend_->slots != reported.slots;
-    own_backend_ = reported;
-    queue_.set_slots(input.slots);
-    if (input.draining) {
-        retire_backend(backend_state::draining, "it is draining");
-    } else if (is_changed) {
-        broadcast_state();
-    }
-}
-
-void node::handle(const backend_deregistered& input)
-{
-    const bool is_known = own_backend_ && own_backend_->id == input.id;
-    departed_backends_[input.id] = {
-        is_known ? own_backend_->born : std::numeric_limits<std::int64_t>::max(), now_};
-    if (is_known) {
-        retire_backend(backend_state::gone, "it has deregistered");
-    }
-}
-
 void node::retire_backend(backend_state state, const std::string& reason)
 {
     const bool leaving = own_backend_ && (own_backend_->state == backend_state::draining ||
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -342,14 +342,12 @@
 
 void node::send_departures(link_id link, peer& to)
 {
-    std::erase_if(to.departed, [this](const auto& entry) {
-        return now_ - entry.second.at > departure_memory();
-    });
-    if (to.departed.empty()) {
+    to.departed.forget_old(now_, unknown_start_memory());
+    if (to.departed.all().empty()) {
         return;
     }
     std::vector<mesh_wire::departed_backend> departed;
-    for (const auto& [id, left] : to.departed) {
+    for (const auto& [id, left] : to.departed.all()) {
         mesh_wire::departed_backend entry;
         entry.__set_id(id.value());
         entry.__set_born(left.born);
@@ -364,16 +362,10 @@
 void node::on_departures(const std::vector<mesh_wire::departed_backend>& departed)
 {
     for (const auto& entry : departed) {
-        const backend_id id{entry.id};
-        const auto age = std::clamp<duration>(milliseconds(entry.age_ms), {}, departure_memory());
-        auto& left = departed_backends_.try_emplace(id).first->second;
-        if (left.born < entry.born) {
-            left = {entry.born, now_ - age};
-        }
-        if (own_backend_ && own_backend_->id == id && own_backend_->born <= entry.born) {
-            retire_backend(backend_state::gone, "it left before this process started");
-        }
+        const auto age = std::max<duration>(milliseconds(entry.age_ms), duration{});
+        record_departure({backend_id{entry.id}, entry.born}, now_ - age);
     }
+    retire_departed_backend();
 }
 
 void node::on_rollout_share(link_id link, const mesh_wire::rollout_share& share)
@@ -540,10 +532,7 @@
         }
         from.app = reported;
         if (reported.state == backend_state::draining || reported.state == backend_state::gone) {
-            auto& left = from.departed.try_emplace(reported.id).first->second;
-            if (left.born < reported.born) {
-                left = {reported.born, now_};
-            }
+            from.departed.add(reported.id, {reported.born, now_});
         }
     } else {
         from.app.reset();
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -83,6 +83,7 @@
         }
         for (auto& entry : hosts_) {
             feed(*entry, nodes_listed{records});
+            read_departures(*entry);
             start_reading(*entry);
         }
         run_for(1s);
@@ -127,7 +128,18 @@
     void deregister_backend(std::size_t i)
     {
         hosts_.at(i)->app.leaving = true;
-        feed(*hosts_.at(i), backend_deregistered{hosts_.at(i)->app.id});
+        feed(*hosts_.at(i), backend_deregistered{next_check_in(), hosts_.at(i)->app.id, {}});
+    }
+    /// A deregistration of the start `born` of the backend server arrives.
+    void deregister_start(std::size_t i, std::int64_t born)
+    {
+        feed(*hosts_.at(i), backend_deregistered{next_check_in(), hosts_.at(i)->app.id, born});
+    }
+    /// When the last call of a backend server was acknowledged; none while it is not.
+    std::optional<time_point> last_acknowledgement() const
+    {
+        const auto found = acknowledged_at_.find(check_in_id{last_check_in_});
+        return found == acknowledged_at_.end() ? std::nullopt : std::optional(found->second);
     }
 
     /// A local client of node `i` sends a request.
@@ -189,6 +201,7 @@
             records.push_back(entry->core.record());
         }
         feed(restarted, nodes_listed{records});
+        read_departures(restarted);
         if (config_) {
             feed(restarted, config_read{config_});
         }
@@ -393,6 +406,7 @@
     static constexpr duration link_delay = 1ms;
     static constexpr duration tick_interval = 25ms;
     static constexpr duration store_delay = 4ms;
+    static constexpr duration store_retry_delay = 200ms;
     /// Delay after a lost connection until the shell has checked whether something still listens.
     static constexpr duration probe_delay = 50ms;
     /// Time from a node's shutdown_complete effect until its process ends.
@@ -404,6 +418,7 @@
     {
         auto& app = this_host.app;
         backend_checked_in check_in_event;
+        check_in_event.call = next_check_in();
         check_in_event.id = app.id;
         check_in_event.born = app.life;
         check_in_event.sequence = ++app.sequence;
@@ -417,6 +432,8 @@
         feed(this_host, check_in_event);
     }
 
+    check_in_id next_check_in() { return check_in_id{++last_check_in_}; }
+
     void add_node(std::size_t i, const std::string& zone)
     {
         mesh_settings settings;
@@ -680,6 +697,35 @@
         }
     }
 
+    void perform(host& from, const store_departures& command)
+    {
+        schedule(store_delay, [this, &from, command] {
+            if (from.store_unavailable) {
+                schedule(store_retry_delay, [this, &from, command] { perform(from, command); });
+                return;
+            }
+            stored_departures_[from.settings.node.value()] = command.starts;
+            feed(from, departures_stored{command.revision});
+        });
+    }
+    void perform(host&, const acknowledge_check_in& command)
+    {
+        acknowledged_at_[command.call] = now_;
+    }
+    void read_departures(host& from)
+    {
+        schedule(store_delay, [this, &from, boot = from.core.record().boot] {
+            if (from.core.record().boot != boot) {
+                return;
+            }
+            if (from.store_unavailable) {
+                schedule(store_retry_delay, [this, &from] { read_departures(from); });
+                return;
+            }
+            feed(from, departures_read{stored_departures_[from.settings.node.value()]});
+        });
+    }
+
     void perform(host& from, const read_crashes&)
     {
         schedule(store_delay, [this, &from] {
@@ -804,6 +850,10 @@
     std::map<std::string, client_result> results_;
     /// Quarantined requests in the store, by the node that wrote them.
     std::map<std::string, mesh_wire::crash_report> quarantine_rows_;
+    /// Backend servers that left, in the store, by node.
+    std::map<std::string, std::vector<backend_start>> stored_departures_;
+    std::map<check_in_id, time_point> acknowledged_at_;
+    std::uint64_t last_check_in_ = 0;
     std::vector<rollout_status> statuses_;
     std::vector<time_point> crash_times_;
     time_point now_{1h};
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -152,6 +152,9 @@
                             const http_request& request) {
         on_check_in(from, request_number, request);
     };
+    out.on_client_gone = [this](std::uint64_t request_number) {
+        unacknowledged_check_ins_.erase(request_number);
+    };
     return out;
 }
 
@@ -303,29 +306,45 @@
 void sidecar::on_check_in(const std::shared_ptr<http_connection>& from,
                           std::uint64_t request_number, const http_request& request)
 {
-    http_reply reply;
+    http_reply refusal;
     try {
         const auto own_address = settings_.app.host + ":" + std::to_string(settings_.app.port);
         auto call =
             platform::read_check_in(std::string(request.method_string()),
                                     std::string(request.target()), request.body(), own_address);
         if (std::holds_alternative<platform::unrelated_call>(call)) {
-            reply.status = 404;
-        } else if (auto* checked_in = std::get_if<mesh::backend_checked_in>(&call)) {
-            post(std::move(*checked_in));
-            reply.head = "Content-Type: application/json\r\n";
-            reply.body = "{}";
+            refusal.status = 404;
         } else {
-            post(std::get<mesh::backend_deregistered>(call));
+            unacknowledged_check_ins_.emplace(request_number, from);
+            if (auto* checked_in = std::get_if<mesh::backend_checked_in>(&call)) {
+                checked_in->call = mesh::check_in_id{request_number};
+                post(std::move(*checked_in));
+            } else {
+                auto& deregistered = std::get<mesh::backend_deregistered>(call);
+                deregistered.call = mesh::check_in_id{request_number};
+                post(std::move(deregistered));
+            }
+            return;
         }
     } catch (const platform::bad_check_in& error) {
         write_log({log_level::warning,
                    "backend.bad_check_in",
                    "",
                    {{"target", std::string(request.target())}, {"reason", error.what()}}});
-        reply.status = 400;
+        refusal.status = 400;
+    }
+    from->respond(request_number, std::move(refusal));
+}
+
+void sidecar::handle(const mesh::acknowledge_check_in& effect)
+{
+    const auto entry = unacknowledged_check_ins_.extract(effect.call.value());
+    if (const auto connection = entry.empty() ? nullptr : entry.mapped().lock()) {
+        http_reply reply;
+        reply.head = "Content-Type: application/json\r\n";
+        reply.body = "{}";
+        connection->respond(effect.call.value(), std::move(reply));
     }
-    from->respond(request_number, std::move(reply));
 }
 
 void sidecar::watch_signals()
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -77,6 +77,8 @@
     void handle(const mesh::set_store_reading& effect) { store_.set_following(effect.follow); }
     void handle(const mesh::apply_rows& effect) { store_.decode_rows(effect); }
     void handle(const mesh::write_rollout_status& effect) { store_.write(effect); }
+    void handle(const mesh::acknowledge_check_in& effect);
+    void handle(const mesh::store_departures& effect) { store_.write(effect); }
     void handle(const mesh::read_crashes&) { store_.read_crashes(); }
     void handle(const mesh::write_crashes& effect) { store_.write(effect); }
     void handle(const mesh::log_line& line) { write_log(line); }
@@ -103,6 +105,8 @@
     duration suspended_time_;
     /// Client connections of the unanswered requests, by request number.
     std::unordered_map<std::uint64_t, std::weak_ptr<http_connection>> connections_by_request_;
+    /// Connections of the check-ins that are not acknowledged yet, by request number.
+    std::unordered_map<std::uint64_t, std::weak_ptr<http_connection>> unacknowledged_check_ins_;
     std::deque<mesh::event> events_;
     bool processing_events_ = false;
     /// Set while stopping: timer_ then polls for the remaining client connections.
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -5,6 +5,9 @@
 #include "platform/operator_rows.h"
 
 #include <algorithm>
+#include <array>
+#include <iterator>
+#include <utility>
 
 namespace camphor::sidecar {
 
@@ -26,9 +29,11 @@
                                mesh_wire::node_record own_record,
                                std::chrono::milliseconds long_poll_timeout, event_handler on_event,
                                std::function<void(mesh::log_line)> on_log, std::uint64_t seed)
-    : call_client_(io, store), feed_client_(io, store), retry_timer_(io), feed_retry_timer_(io),
-      own_record_(std::move(own_record)), long_poll_timeout_(long_poll_timeout),
-      on_event_(std::move(on_event)), on_log_(std::move(on_log)), random_(seed)
+    : call_client_(io, store), feed_client_(io, store), announce_retry_timer_(io.get_executor()),
+      list_retry_timer_(io.get_executor()), status_retry_timer_(io.get_executor()),
+      feed_retry_timer_(io.get_executor()), own_record_(std::move(own_record)),
+      long_poll_timeout_(long_poll_timeout), on_event_(std::move(on_event)),
+      on_log_(std::move(on_log)), random_(seed)
 {
 }
 
@@ -41,8 +46,10 @@
 void store_follower::stop()
 {
     stopped_ = true;
-    retry_timer_.cancel();
-    feed_retry_timer_.cancel();
+    for (auto* timer :
+         {&announce_retry_timer_, &list_retry_timer_, &status_retry_timer_, &feed_retry_timer_}) {
+        timer->cancel();
+    }
 }
 
 void store_follower::set_address(const mesh::listen_address& store)
@@ -80,15 +87,87 @@
 
 void store_follower::announce()
 {
+    if (announce_pending_) {
+        announce_again_ = true;
+        return;
+    }
+    announce_pending_ = true;
+    announce_again_ = false;
+    announce_retry_timer_.cancel();
+    // A write that was sent by an earlier process may still be carried out: only the condition on
+    // the version keeps it from undoing this one.
     const auto row = platform::write_row(platform::node_table, own_record_.node,
-                                         platform::write_node_row(own_record_));
-    call_client_.call(row, call_timeout, [this](const shell::store_reply& reply) {
-        if (reply.status != shell::store_ok) {
-            retry_later(reply, &store_follower::announce);
-            return;
+                                         platform::write_node_row(own_record_, departures_.starts),
+                                         own_row_version_);
+    call_client_.call(row, call_timeout,
+                      [this, revision = departures_.revision](const shell::store_reply& reply) {
+                          on_announced(reply, revision);
+                      });
+}
+
+void store_follower::on_announced(const shell::store_reply& reply, std::int64_t revision)
+{
+    announce_pending_ = false;
+    if (reply.status == shell::store_conflict) {
+        const auto version_before = own_row_version_;
+        take_over_row(reply);
+        if (own_row_version_ == version_before) {
+            retry_later({reply.status, "", "the row has another version than stated", true},
+                        &store_follower::announce);
+        } else {
+            announce();
         }
+        return;
+    }
+    if (reply.status != shell::store_ok) {
+        retry_later(reply, &store_follower::announce);
+        return;
+    }
+    own_row_version_ = platform::read_written_version(reply.body);
+    report_departures({});
+    on_event_(mesh::departures_stored{revision});
+    if (!std::exchange(nodes_listed_, true)) {
         list_nodes();
-    });
+    }
+    if (announce_again_) {
+        announce();
+    }
+}
+
+void store_follower::take_over_row(const shell::store_reply& reply)
+{
+    own_row_version_ = std::nullopt;
+    try {
+        for (const auto& row : read_rows(reply).rows) {
+            if (row.key != own_record_.node) {
+                continue;
+            }
+            own_row_version_ = row.version;
+            const auto starts = platform::read_departures(row.value);
+            std::copy_if(starts.begin(), starts.end(), std::back_inserter(departures_.starts),
+                         [this](const auto& start) {
+                             const auto& known = departures_.starts;
+                             return std::find(known.begin(), known.end(), start) == known.end();
+                         });
+            report_departures(starts);
+        }
+    } catch (const std::runtime_error& error) {
+        log(log_level::warning, "store.bad_row",
+            {{"table", platform::node_table}, {"key", own_record_.node}, {"reason", error.what()}});
+    }
+}
+
+void store_follower::report_departures(const std::vector<mesh::backend_start>& starts)
+{
+    if (!std::exchange(departures_reported_, true)) {
+        on_event_(mesh::departures_read{starts});
+    }
+}
+
+void store_follower::write(const mesh::store_departures& effect)
+{
+    departures_ = effect;
+    announce();
 }
 
 void store_follower::list_nodes()
@@ -187,19 +266,30 @@
         feed_pending_ = false;
         return;
     }
-    auto& timer =
-        retry == &store_follower::read_operator_table || retry == &store_follower::poll_feed
-            ? feed_retry_timer_
-            : retry_timer_;
     ++consecutive_failures_;
-    timer.expires_after(std::chrono::milliseconds(backoff(random_)));
-    timer.async_wait([this, retry](boost::system::error_code error) {
-        if (!error && !stopped_) {
+    timer_of(retry).start(std::chrono::milliseconds(backoff(random_)), [this, retry] {
+        if (!stopped_) {
             (this->*retry)();
         }
     });
 }
 
+shell::cancellable_timer& store_follower::timer_of(void (store_follower::*retry)())
+{
+    struct retry_entry {
+        void (store_follower::*retry)();
+        shell::cancellable_timer store_follower::*timer;
+    };
+    static constexpr std::array<retry_entry, 3> entries{{
+        {&store_follower::announce, &store_follower::announce_retry_timer_},
+        {&store_follower::list_nodes, &store_follower::list_retry_timer_},
+        {&store_follower::read_status, &store_follower::status_retry_timer_},
+    }};
+    const auto found = std::find_if(entries.begin(), entries.end(),
+                                    [retry](const auto& entry) { return entry.retry == retry; });
+    return found == entries.end() ? feed_retry_timer_ : this->*(found->timer);
+}
+
 void store_follower::update_contact(bool is_reachable, const shell::store_reply& reply)
 {
     if (is_reachable) {
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "libmesh/messages.h"
+#include "libshell/cancellable_timer.h"
 #include "libshell/store_client.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <functional>
@@ -22,10 +22,10 @@
 public:
     using event_handler = std::function<void(mesh::event)>;
 
-    /// Reports nodes_listed, config_read, order_read, rollout_status_read, rollout_status_written,
-    /// rows_read, crashes_read and crashes_written to `on_event`. `on_log` receives log lines, such
-    /// as those on lost and regained contact and on unreadable rows. `seed` initialises the
-    /// random backoff jitter.
+    /// Reports departures_read, departures_stored, nodes_listed, config_read, order_read,
+    /// rollout_status_read, rollout_status_written, rows_read, crashes_read and crashes_written to
+    /// `on_event`. `on_log` receives log lines, such as those on lost and regained contact and on
+    /// unreadable rows. `seed` initialises the random backoff jitter.
     store_follower(boost::asio::io_context& io, const mesh::listen_address& store,
                    mesh_wire::node_record own_record, std::chrono::milliseconds long_poll_timeout,
                    event_handler on_event, std::function<void(mesh::log_line)> on_log,
@@ -43,6 +43,8 @@
     void decode_rows(const mesh::apply_rows& effect);
     /// Writes the status if its row still has the expected version; reports rollout_status_written.
     void write(const mesh::write_rollout_status& effect);
+    /// Writes the departures to the node's row until that succeeds; reports departures_stored.
+    void write(const mesh::store_departures& effect);
     /// Reads the crash reports of all nodes; reports crashes_read.
     void read_crashes();
     /// Writes the crash report of this node; reports crashes_written.
@@ -56,7 +58,13 @@
 private:
     using clock = std::chrono::steady_clock;
 
+    /// Writes the row of this node.
     void announce();
+    void on_announced(const shell::store_reply& reply, std::int64_t revision);
+    /// The row that an earlier process of this node wrote, or that an unanswered write of this one
+    /// left: takes over its departures.
+    void take_over_row(const shell::store_reply& reply);
+    void report_departures(const std::vector<mesh::backend_start>& starts);
     void list_nodes();
     /// Lists the nodes whose row key is not less than `first_key`, one page after the other.
     void list_nodes_from_key(const std::string& first_key);
@@ -73,6 +81,7 @@
     /// Calls `retry` after the backoff. Reads of the operators' rows are not retried while other
     /// nodes read them for this one, once a first read has succeeded.
     void retry_later(const shell::store_reply& reply, void (store_follower::*retry)());
+    shell::cancellable_timer& timer_of(void (store_follower::*retry)());
     /// Decodes and reports one operators' row. Returns whether the row holds a roll-out order.
     bool decode_row(const mesh_wire::operator_row& row);
     /// Logs when the store becomes reachable or unreachable, and resets the backoff.
@@ -82,9 +91,21 @@
     shell::store_client call_client_;
     /// Used only for reads of the operators' rows, whose long polls would delay other calls.
     shell::store_client feed_client_;
-    boost::asio::steady_timer retry_timer_;
-    boost::asio::steady_timer feed_retry_timer_;
+    /// One timer for each call that may wait for its retry while others do.
+    shell::cancellable_timer announce_retry_timer_;
+    shell::cancellable_timer list_retry_timer_;
+    shell::cancellable_timer status_retry_timer_;
+    shell::cancellable_timer feed_retry_timer_;
     mesh_wire::node_record own_record_;
+    /// Departures to be kept in the row of this node.
+    mesh::store_departures departures_;
+    /// Expected version of that row: 0 while it does not exist, none when it is unreadable.
+    std::optional<std::int64_t> own_row_version_ = 0;
+    bool announce_pending_ = false;
+    /// The row has to be written again, since departures_ has changed.
+    bool announce_again_ = false;
+    bool departures_reported_ = false;
+    bool nodes_listed_ = false;
     std::chrono::milliseconds long_poll_timeout_;
     event_handler on_event_;
     std::function<void(mesh::log_line)> on_log_;
--- a/src/libsidecar/store_follower_test.cpp
+++ b/src/libsidecar/store_follower_test.cpp
@@ -28,6 +28,8 @@
     return out;
 }
 
+using backend_start_list = std::vector<mesh::backend_start>;
+
 struct discarding_exchange : standin::http_exchange {
     void answer(standin::http_response) override {}
     void drop() override {}
@@ -70,12 +72,38 @@
                 nodes.insert(node.node);
             }
         }
+        if (const auto* read = std::get_if<mesh::departures_read>(&event)) {
+            ++departures_reads;
+            departed = read->starts;
+        }
+        if (const auto* stored = std::get_if<mesh::departures_stored>(&event)) {
+            stored_revision = stored->revision;
+        }
         answered_reads += std::holds_alternative<mesh::rows_read>(event) ? 1 : 0;
         rows_were_read = rows_were_read || std::holds_alternative<mesh::rows_read>(event);
         const auto* status = std::get_if<mesh::rollout_status_read>(&event);
         statuses += status != nullptr ? 1 : 0;
     }
 
+    bool nodes_announced()
+    {
+        run_until([](const store_fixture& fixture) { return fixture.nodes.contains("n0"); });
+        return nodes.contains("n0");
+    }
+
+    /// The departures in the node's row.
+    backend_start_list read_own_row()
+    {
+        std::optional<backend_start_list> out;
+        writer.call(platform::read_table(platform::node_table, {"n0", "", 1}),
+                    std::chrono::seconds(5), [&](const shell::store_reply& reply) {
+                        out = platform::read_departures(
+                            platform::read_rows(reply.body).rows.at(0).value);
+                    });
+        shell::test::run_until(io, [&] { return out.has_value(); });
+        return out.value();
+    }
+
     void run_until(const std::function<bool(const store_fixture&)>& done)
     {
         shell::test::run_until(io, [&] { return done(*this); });
@@ -93,6 +121,9 @@
     std::set<std::string> nodes;
     bool rows_were_read = false;
     int statuses = 0;
+    int departures_reads = 0;
+    backend_start_list departed;
+    std::int64_t stored_revision = -1;
     /// Number of rows_read events.
     int answered_reads = 0;
     store_follower follower;
@@ -115,6 +146,60 @@
     BOOST_TEST(store.nodes.size() == count + 1U);
 }
 
+struct own_row_case {
+    const char* name;
+    /// Content of the node's row before it starts; empty: no row.
+    std::string row;
+    std::size_t departed;
+};
+
+std::ostream& operator<<(std::ostream& out, const own_row_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<own_row_case> own_row_cases{
+    {"first start", "", 0},
+    {"an earlier process, nothing left", platform::write_node_row(make_node_record("n0")), 0},
+    {"an earlier process, one left",
+     platform::write_node_row(make_node_record("n0"), {{backend_id{"b0"}, 5}}), 1},
+    {"unreadable departures", R"({"departed":[{"id":7}]})", 0},
+    {"no document", "{", 0},
+};
+
+// Guards against departures that are lost when a node, or each node, starts again.
+BOOST_DATA_TEST_CASE(departures_outlast_the_process, boost::unit_test::data::make(own_row_cases),
+                     sample)
+{
+    std::vector<platform::row_write> rows;
+    if (!sample.row.empty()) {
+        rows.push_back({platform::node_table, "n0", sample.row});
+    }
+    store_fixture store(std::move(rows));
+    store.run_until([](const store_fixture& fixture) { return fixture.stored_revision == 0; });
+    BOOST_TEST(store.nodes_announced());
+    BOOST_TEST(store.departures_reads == 1);
+    BOOST_TEST(store.departed.size() == sample.departed);
+    // A departure is added to those that the row holds.
+    auto all = store.departed;
+    all.push_back({backend_id{"b1"}, 9});
+    store.follower.write(mesh::store_departures{1, all});
+    store.run_until([](const store_fixture& fixture) { return fixture.stored_revision == 1; });
+    BOOST_TEST(store.stored_revision == 1);
+    BOOST_TEST((store.read_own_row() == all));
+}
+
+// Guards against a departure that is replaced by one which was reported before the row was read.
+BOOST_AUTO_TEST_CASE(a_departure_before_the_first_answer_is_added_to_the_row)
+{
+    const backend_start_list before{{backend_id{"b0"}, 5}};
+    store_fixture store(
+        {{platform::node_table, "n0", platform::write_node_row(make_node_record("n0"), before)}});
+    store.follower.write(mesh::store_departures{1, {{backend_id{"b1"}, 9}}});
+    store.run_until([](const store_fixture& fixture) { return fixture.stored_revision == 1; });
+    BOOST_TEST(store.read_own_row().size() == 2U);
+}
+
 BOOST_DATA_TEST_CASE(reads_rollout_status_only_if_an_order_exists,
                      boost::unit_test::data::make({0, 1}), order_count)
 {
