Probe a backend server that seems full for longer than it should

Cause: the number of requests that a backend server reports beside those of its node was believed until the next answer. With all slots taken by it no request was sent, so that no answer came. Ruled out: hold times (a free slot is used whatever they are), unreachable backend servers and crash suspects (the refusals say overload). Change: once the reported requests should have ended, one request is admitted as a probe; each probe that is not served doubles the time to the next one, up to a second. Lost answers free no more slots than requests are running. Conclusion: a full backend server is asked again; one that stays full is not overrun.

--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -152,7 +152,7 @@
 bool node::has_free_slot() const
 {
     return own_backend_ && own_backend_->accepts_requests() && lends_backend(queue_.mean_hold()) &&
-           queue_.has_free_slot();
+           queue_.has_free_slot(now_);
 }
 
 void node::announce_free_slots()
@@ -263,7 +263,7 @@
         const int others = input.load->running + input.load->waiting - 1;
         // A negative value means that the backend server runs fewer requests than were sent: some
         // answers were lost, and the slots of those requests are free.
-        queue_.set_untracked_running(std::max(others - queue_.running(), -queue_.running()));
+        queue_.set_untracked_running(others - queue_.running(), now_);
     }
 }
 
--- /dev/null
+++ b/src/libmesh/recovery_test.cpp
@@ -0,0 +1,138 @@
+// Backend servers that were slow, full or failing for some seconds, and are sound again.
+#define BOOST_TEST_MODULE recovery
+#include "libmesh/test_mesh_net.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <ostream>
+#include <vector>
+
+using namespace camphor;
+using namespace camphor::mesh;
+using namespace camphor::mesh::test;
+
+namespace {
+
+constexpr std::size_t node_count = 3;
+constexpr int requests_per_second = 60;
+constexpr duration sound_work = 100ms;
+constexpr duration check_in_interval = 1500ms;
+
+void check_in_all(simulated_mesh& net)
+{
+    for (std::size_t i = 0; i < node_count; ++i) {
+        net.check_in(i);
+    }
+}
+
+/// Sends requests to node 0 and lets the backend servers check in. Returns the share served.
+double send_load(simulated_mesh& net, duration span, const std::string& prefix)
+{
+    const int request_count = static_cast<int>(span / 1ms) * requests_per_second / 1000;
+    auto next_check_in = net.now();
+    for (int i = 0; i < request_count; ++i) {
+        if (net.now() >= next_check_in) {
+            check_in_all(net);
+            next_check_in += check_in_interval;
+        }
+        net.send(0, prefix + std::to_string(i), 1500ms);
+        net.run_for(duration(1s) / requests_per_second);
+    }
+    int served = 0;
+    for (const auto& [id, result] : net.results()) {
+        served += id.starts_with(prefix) && result.status == 200 ? 1 : 0;
+    }
+    return static_cast<double>(served) / request_count;
+}
+
+struct outage_case {
+    const char* name;
+    /// Backend servers go on with requests whose connections were closed.
+    bool keeps_aborted_runs;
+    /// All nodes are killed and restarted while the backend servers are slow.
+    bool kills_nodes;
+};
+
+std::ostream& operator<<(std::ostream& out, const outage_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<outage_case> outage_cases{
+    {"requests are dropped", false, false},
+    {"requests go on", true, false},
+    {"requests go on, all nodes are killed", true, true},
+    {"requests are dropped, all nodes are killed", false, true},
+};
+
+} // namespace
+
+// Guards against a service that is refused for good after all of its backend servers were slow: the
+// load that they reported last must not keep requests away for ever.
+BOOST_DATA_TEST_CASE(backend_servers_that_were_slow_are_used_again,
+                     boost::unit_test::data::make(outage_cases), sample)
+{
+    simulated_mesh net(node_count);
+    net.configure(true, 800ms, 400ms);
+    check_in_all(net);
+    net.run_for(100ms);
+    BOOST_TEST(send_load(net, 2s, "before") > 0.9);
+    for (std::size_t i = 0; i < node_count; ++i) {
+        net.app(i).work = sound_work * 12;
+        net.app(i).keeps_aborted_runs = sample.keeps_aborted_runs;
+        net.app(i).max_requests = net.app(i).slots + 8;
+    }
+    send_load(net, 2s, "slow");
+    for (std::size_t i = 0; i < node_count && sample.kills_nodes; ++i) {
+        net.kill(i);
+    }
+    net.run_for(500ms);
+    for (std::size_t i = 0; i < node_count && sample.kills_nodes; ++i) {
+        net.restart_node(i);
+    }
+    send_load(net, 6s, "still slow");
+    for (std::size_t i = 0; i < node_count; ++i) {
+        net.app(i).work = sound_work;
+    }
+    // The last slow requests end.
+    send_load(net, 3s, "ending");
+    BOOST_TEST(send_load(net, 5s, "after") > 0.9);
+}
+
+// Guards against probes that overrun backend servers which are truly full.
+BOOST_AUTO_TEST_CASE(full_backend_servers_are_not_overrun)
+{
+    constexpr int seconds = 6;
+    constexpr int max_probes_per_second = 2;
+    simulated_mesh net(node_count);
+    net.configure(true, 800ms, 400ms);
+    check_in_all(net);
+    net.run_for(100ms);
+    for (std::size_t i = 0; i < node_count; ++i) {
+        // Requests that this process of the node does not know keep it full.
+        net.app(i).max_requests = net.app(i).slots + 8;
+        net.app(i).running += net.app(i).max_requests;
+    }
+    send_load(net, 1s, "first");
+    const auto arrivals = [&net] {
+        int total = 0;
+        for (std::size_t i = 0; i < node_count; ++i) {
+            total += net.app(i).arrivals;
+        }
+        return total;
+    };
+    const int before = arrivals();
+    send_load(net, duration(1s) * seconds, "full");
+    const int probes = arrivals() - before;
+    BOOST_TEST_MESSAGE(probes << " probes");
+    BOOST_TEST(probes > 0);
+    BOOST_TEST(probes <= static_cast<int>(node_count) * seconds * max_probes_per_second);
+    for (std::size_t i = 0; i < node_count; ++i) {
+        net.app(i).running -= net.app(i).max_requests;
+    }
+    send_load(net, 1500ms, "ending");
+    BOOST_TEST(send_load(net, 3s, "after") > 0.9);
+}
--- a/src/libmesh/slot_queue.cpp
+++ b/src/libmesh/slot_queue.cpp
@@ -11,12 +11,37 @@
 constexpr int short_request_divisor = 2;
 /// Nine in ten requests hold a slot for less than this multiple of the mean.
 constexpr int hold_p90_factor = 2;
+/// Limits of the time between probes of a backend server that seems full, which doubles with each
+/// one that is not served.
+constexpr duration max_probe_gap = std::chrono::seconds(1);
+constexpr int max_doublings = 4;
 
 } // namespace
 
-int slot_queue::free_slots() const
+int slot_queue::free_slots(time_point now) const
 {
-    return slots_ - running() - untracked_running_;
+    return needs_probe(now) ? 1 : slots_ - running() - untracked_running_;
+}
+
+bool slot_queue::needs_probe(time_point now) const
+{
+    // A running request brings a newer report with its answer. Without one there is none to come,
+    // so that a request has to be admitted; only one, since the backend server may still be full.
+    if (slots_ == 0 || untracked_running_ < slots_ || !running_.empty()) {
+        return false;
+    }
+    const auto time_to_end = mean_hold() * (1 + untracked_running_ / slots_);
+    const auto gap = std::min<duration>(
+        time_to_end * (1 << std::min(failed_probes_, max_doublings)), max_probe_gap);
+    return now - untracked_reported_at_ > gap;
+}
+
+void slot_queue::run_request(const slot_request& request, time_point now)
+{
+    if (needs_probe(now)) {
+        probe_ = request.run;
+    }
+    running_.emplace(request.run, running_request{request.route, now});
 }
 
 duration slot_queue::expected_wait(std::map<waiting_key, slot_request>::const_iterator last) const
@@ -37,8 +62,8 @@
 slot_queue::decision slot_queue::offer(const slot_request& request, time_point now)
 {
     ++arrival_count_;
-    if (has_free_slot()) {
-        running_.emplace(request.run, running_request{request.route, now});
+    if (has_free_slot(now)) {
+        run_request(request, now);
         return {admission::run, {}};
     }
     const auto decided = wait_or_refuse(request, now);
@@ -81,6 +106,12 @@
             holds_.add(position->second.route, now - position->second.started_at);
         }
         running_.erase(position);
+        untracked_running_ = std::max(untracked_running_, -running());
+        if (probe_ == run) {
+            probe_.reset();
+            failed_probes_ = answered ? 0 : failed_probes_ + 1;
+            untracked_reported_at_ = now;
+        }
         return;
     }
     const auto queued = std::find_if(waiting_.begin(), waiting_.end(),
@@ -92,14 +123,12 @@
 
 std::optional<run_id> slot_queue::start_next(time_point now)
 {
-    if (waiting_.empty() || free_slots() <= 0) {
+    if (waiting_.empty() || slots_ == 0 || free_slots(now) <= 0) {
         return std::nullopt;
     }
-    const auto first = waiting_.begin();
-    const auto run = first->second.run;
-    running_.emplace(run, running_request{first->second.route, now});
-    waiting_.erase(first);
-    return run;
+    const auto first = waiting_.extract(waiting_.begin());
+    run_request(first.mapped(), now);
+    return first.mapped().run;
 }
 
 std::map<int, int> slot_queue::waiting_by_rank() const
--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -1,12 +1,13 @@
 // Admission queue in front of one backend server. Every request for the backend server passes
 // through the node beside it, so the slots in use are counted, not estimated. Designed for steep
-// bursts, sustained overload, requests of different priority, and clients that disconnect while
-// their request is queued.
+// bursts, sustained overload, requests of different priority, clients that disconnect while their
+// request is queued, and a backend server that goes on with requests which were given up.
 #pragma once
 
 #include "libmesh/hold_time.h"
 #include "libmesh/messages.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,9 +46,14 @@
     /// Sets the number of slots of the backend server; with zero every request is refused.
     void set_slots(int slots) { slots_ = slots; }
     int slots() const { return slots_; }
-    /// Sets the number of requests that the backend server reports to run beyond those that this
-    /// queue admitted; negative when it runs fewer than were admitted.
-    void set_untracked_running(int running) { untracked_running_ = running; }
+    /// Sets the number of requests that the backend server reports to have beyond those that this
+    /// queue admitted; negative when it has fewer than were admitted.
+    void set_untracked_running(int running, time_point now)
+    {
+        untracked_running_ = std::max(running, -this->running());
+        untracked_reported_at_ = now;
+        failed_probes_ = untracked_running_ < slots_ ? 0 : failed_probes_;
+    }
 
     /// Admits, queues or refuses the request.
     decision offer(const slot_request& request, time_point now);
@@ -63,7 +69,10 @@
     std::vector<run_id> clear_waiting();
 
     /// True when a request would be admitted at once.
-    bool has_free_slot() const { return slots_ > 0 && free_slots() > 0 && waiting_.empty(); }
+    bool has_free_slot(time_point now) const
+    {
+        return slots_ > 0 && free_slots(now) > 0 && waiting_.empty();
+    }
     int running() const { return static_cast<int>(running_.size()); }
     int waiting() const { return static_cast<int>(waiting_.size()); }
     std::map<int, int> waiting_by_rank() const;
@@ -95,7 +104,10 @@
     /// Mean hold time assumed before the first answer.
     static constexpr duration initial_mean_hold = std::chrono::milliseconds(100);
 
-    int free_slots() const;
+    int free_slots(time_point now) const;
+    /// True when the reported untracked requests take all slots, but should have ended since.
+    bool needs_probe(time_point now) const;
+    void run_request(const slot_request& request, time_point now);
     /// Expected time until a slot is free for a request that is queued behind the entries before
     /// `last`, assuming that no slot is free now.
     duration expected_wait(std::map<waiting_key, slot_request>::const_iterator last) const;
@@ -104,7 +116,14 @@
     decision wait_or_refuse(const slot_request& request, time_point now) const;
 
     int slots_ = 0;
+    /// Invariant: not below -running(): lost answers free the slots of running requests only.
     int untracked_running_ = 0;
+    /// When they were reported, or when a probe last failed to get a newer report.
+    time_point untracked_reported_at_{};
+    /// The running request that was admitted though all slots are reported as taken.
+    std::optional<run_id> probe_;
+    /// Number of probes in a row that were not served.
+    int failed_probes_ = 0;
     std::uint64_t arrival_count_ = 0;
     std::map<waiting_key, slot_request> waiting_;
     std::map<run_id, running_request> running_;
--- a/src/libmesh/slot_queue_test.cpp
+++ b/src/libmesh/slot_queue_test.cpp
@@ -143,11 +143,11 @@
 BOOST_AUTO_TEST_CASE(counts_untracked_requests_against_the_slots)
 {
     auto queue = make_trained_queue(3);
-    queue.set_untracked_running(2);
+    queue.set_untracked_running(2, start);
     BOOST_TEST((queue.offer(make_request({1}, start), start).result == slot_queue::admission::run));
     BOOST_TEST(
         (queue.offer(make_request({2}, start), start).result == slot_queue::admission::wait));
-    queue.set_untracked_running(0);
+    queue.set_untracked_running(0, start);
     BOOST_TEST(queue.start_next(start).has_value());
 }
 
@@ -191,11 +191,68 @@
     queue.set_slots(2);
     fill_slots(queue, 2);
     // The backend server has lost both answers, and then reports that it has no slots.
-    queue.set_untracked_running(-2);
+    queue.set_untracked_running(-2, start);
     queue.set_slots(0);
     queue.finish(run_id{100}, false, start);
     queue.finish(run_id{101}, false, start);
-    BOOST_TEST(!queue.has_free_slot());
+    BOOST_TEST(!queue.has_free_slot(start));
     const auto decided = queue.offer(make_request({200}, start), start);
     BOOST_TEST((decided.result == slot_queue::admission::refuse));
 }
+
+struct untracked_case {
+    const char* name;
+    /// Requests beyond the tracked ones, as last reported; there are 4 slots of 100 ms each.
+    int untracked;
+    int running;
+    duration report_age;
+    /// Number of requests that are admitted at once.
+    int admitted;
+};
+
+std::ostream& operator<<(std::ostream& out, const untracked_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<untracked_case> untracked_cases{
+    {"full by a new report", 11, 0, 50ms, 0},
+    {"full by an old report: one probe", 11, 0, 5s, 1},
+    {"just full by an old report: one probe", 4, 0, 5s, 1},
+    {"full by an old report, but an answer is due", 4, 1, 5s, 0},
+    {"partly used by an old report", 2, 0, 5s, 2},
+    {"nothing untracked", 0, 0, 5s, 4},
+    {"lost answers of requests that have ended since", -3, 0, 50ms, 4},
+    {"lost answers of running requests", -2, 3, 50ms, 3},
+};
+
+// Guards against a backend server that is never used again because it was full when it last
+// answered, and against one that is still full and gets more than a probe.
+BOOST_DATA_TEST_CASE(an_old_report_of_untracked_requests_admits_a_probe,
+                     boost::unit_test::data::make(untracked_cases), sample)
+{
+    auto queue = make_trained_queue(4);
+    fill_slots(queue, sample.running);
+    queue.set_untracked_running(sample.untracked, start);
+    const auto now = start + sample.report_age;
+    int admitted = 0;
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        const auto decided = queue.offer(make_request({id, 1, 1s, 1s, false}, now), now);
+        admitted += decided.result == slot_queue::admission::run ? 1 : 0;
+    }
+    BOOST_TEST(admitted == sample.admitted);
+}
+
+// Guards against probes that follow each other while the backend server says that it is full.
+BOOST_AUTO_TEST_CASE(a_probe_that_finds_the_backend_server_full_renews_the_report)
+{
+    auto queue = make_trained_queue(4);
+    queue.set_untracked_running(4, start);
+    const auto probed_at = start + 5s;
+    BOOST_TEST((queue.offer(make_request({1, 1, 1s, 1s, false}, probed_at), probed_at).result ==
+                slot_queue::admission::run));
+    queue.finish(run_id{1}, false, probed_at + 1ms);
+    queue.set_untracked_running(4, probed_at + 1ms);
+    BOOST_TEST(!queue.has_free_slot(probed_at + 2ms));
+    BOOST_TEST(queue.has_free_slot(probed_at + 5s));
+}
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -44,6 +44,11 @@
     /// One in this many requests takes `slow_factor` times as long; 0: none.
     int slow_period = 0;
     int slow_factor = 1;
+    /// Requests that it has at most, those of closed connections included; it rejects others. 0: no
+    /// limit.
+    int max_requests = 0;
+    /// Goes on with a request whose connection was closed.
+    bool keeps_aborted_runs = false;
     /// End of the warm-up time that the check-in reports.
     time_point cold_until{};
     /// Answers are lost: the request runs but the node receives no answer.
@@ -193,8 +198,12 @@
         restarted.core = node(restarted.settings, ++last_boot_, i + 1);
         restarted.dead = false;
         restarted.clients.clear();
+        if (restarted.app.keeps_aborted_runs) {
+            restarted.aborted_runs.merge(restarted.running_runs);
+        } else {
+            restarted.app.running = 0;
+        }
         restarted.running_runs.clear();
-        restarted.app.running = 0;
         schedule_tick(restarted);
         std::vector<mesh_wire::node_record> records;
         for (const auto& entry : hosts_) {
@@ -374,6 +383,8 @@
         duration clock_lag{};
         int share_frames = 0;
         std::set<run_id> running_runs;
+        /// Runs that the backend server goes on with though their connections were closed.
+        std::set<run_id> aborted_runs;
         bool is_partitioned = false;
         bool dead = false;
         bool store_unavailable = false;
@@ -529,7 +540,8 @@
         ++app.running;
         ++app.arrivals;
         from.running_runs.insert(command.run);
-        if (app.shed_period > 0 && app.arrivals % app.shed_period == 0) {
+        const bool is_full = app.max_requests > 0 && app.running > app.max_requests;
+        if (is_full || (app.shed_period > 0 && app.arrivals % app.shed_period == 0)) {
             schedule(0ms, [this, &from, run = command.run] { shed_run(from, run); });
             return;
         }
@@ -572,10 +584,13 @@
     }
     void finish_run(host& from, run_id run)
     {
+        auto& app = from.app;
+        if (from.aborted_runs.erase(run) > 0) {
+            --app.running;
+        }
         if (from.running_runs.erase(run) == 0) {
             return;
         }
-        auto& app = from.app;
         const backend_load_report load{app.running, 0, app.slots};
         --app.running;
         if (app.loses_answers) {
@@ -604,7 +619,12 @@
     }
     void perform(host& from, const abort_run& command)
     {
-        if (from.running_runs.erase(command.run) > 0) {
+        if (from.running_runs.erase(command.run) == 0) {
+            return;
+        }
+        if (from.app.keeps_aborted_runs) {
+            from.aborted_runs.insert(command.run);
+        } else {
             --from.app.running;
         }
     }
