Probe backend servers that are avoided because they were slow or failing

Placement avoids a backend server whose requests were slow or failed; as long as the others had room it got none, so that its means stayed as they were. Evidence: recovery_test, one of three backend servers is slow or failing for 5 s and sound after that: its share of the requests stays 0, in one case for 45 s. Ruled out: the owners' queues (a free slot is used whatever the means are). Change: a node probes an avoided owner after a while without a request to it; failing ones with requests that may be repeated only. A better value counts more the older the mean is; a failure ratio without answers is halved every 10 s. Tests, with probes and aging taken out: 4 cases of recovery_test failed (share 0); with them 0.18 to 0.22, and under 0.01 while the backend server is still bad. Conclusion: each belief that keeps work away ends by expiry, probe or a newer report.

--- a/src/libmesh/directory.h
+++ b/src/libmesh/directory.h
@@ -75,6 +75,8 @@
     /// process does not know them.
     departures departed;
     load_estimate load;
+    /// When this node last sent a request to the node.
+    time_point attempted_at{};
     /// Version of the configuration that the node reports; 0 before it has one.
     std::int64_t config_version = 0;
     /// The node announces changes of its free slots to this node.
--- a/src/libmesh/hold_time.h
+++ b/src/libmesh/hold_time.h
@@ -1,8 +1,11 @@
 // Estimates per route how long requests hold a slot of one backend server.
 #pragma once
 
+#include "libmesh/aging_weight.h"
+
 #include <camphortally/ids.h>
 
+#include <chrono>
 #include <map>
 
 namespace camphor::mesh {
@@ -11,10 +14,10 @@
 /// route and over all routes.
 class hold_times {
 public:
-    void add(const route_id& route, duration hold_time)
+    void add(const route_id& route, duration hold_time, time_point now)
     {
-        update_mean(overall_mean_, hold_time);
-        update_mean(mean_by_route_[route], hold_time);
+        overall_mean_.add(hold_time, now);
+        mean_by_route_[route].add(hold_time, now);
     }
 
     /// Mean of the route; the mean over all routes before the first value of the route, and `prior`
@@ -22,14 +25,15 @@
     duration mean_of(const route_id& route, duration prior) const
     {
         const auto found = mean_by_route_.find(route);
-        return found != mean_by_route_.end() ? found->second : mean(prior);
+        return found != mean_by_route_.end() ? found->second.value : mean(prior);
     }
 
     /// Mean over all routes; `prior` before any value.
     duration mean(duration prior) const
     {
-        return overall_mean_.count() > 0 ? overall_mean_ : prior;
+        return overall_mean_.value.count() > 0 ? overall_mean_.value : prior;
     }
+    bool has_values_of(const route_id& route) const { return mean_by_route_.contains(route); }
     void clear()
     {
         overall_mean_ = {};
@@ -39,15 +43,26 @@
 private:
     /// The newest value has a weight of one part in this many, so the mean follows a change within
     /// about twenty requests.
-    static constexpr int newest_weight_divisor = 10;
+    static constexpr double newest_weight = 0.1;
 
-    static void update_mean(duration& mean, duration hold_time)
-    {
-        mean = mean.count() == 0 ? hold_time : mean + (hold_time - mean) / newest_weight_divisor;
-    }
+    struct aging_mean {
+        duration value{};
+        time_point updated_at{};
+
+        void add(duration sample, time_point now)
+        {
+            const double weight = sample < value
+                                      ? weight_of_better_value(newest_weight, now - updated_at)
+                                      : newest_weight;
+            updated_at = now;
+            value = value.count() == 0
+                        ? sample
+                        : value + std::chrono::duration_cast<duration>((sample - value) * weight);
+        }
+    };
 
-    duration overall_mean_{};
-    std::map<route_id, duration> mean_by_route_;
+    aging_mean overall_mean_;
+    std::map<route_id, aging_mean> mean_by_route_;
 };
 
 } // namespace camphor::mesh
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -246,6 +246,10 @@
     void place(call_state& call);
     /// Whether the owner is worth asking for a free slot.
     bool may_have_free_slot(const call_state& call, const candidate& option) const;
+    /// An owner that gets no requests since it was slow or failing, and whose turn it is to show
+    /// whether it still is; none when there is no such owner.
+    std::optional<std::size_t> choose_probe(const call_state& call,
+                                            const std::vector<candidate>& options) const;
     /// No owner has a free slot: sends the call to the queue with the lowest expected cost.
     void queue_at_best_owner(call_state& call, std::vector<candidate> queues,
                              const placement_request& placement);
@@ -283,6 +287,8 @@
     std::map<run_id, run_state>::iterator find_run(const run_origin& origin);
     void cancel_run(const run_origin& origin);
     void start_queued_runs();
+    /// Share of failed answers, 0 to 1; old answers count less.
+    double failure_ratio() const;
     void update_failure_ratio(bool failed);
     void log_broken_run(const run_state& run, const std::string& reason);
     void record_release_result(const run_state& run, run_verdict verdict);
@@ -451,8 +457,11 @@
     time_point next_slot_announcement_{};
     std::map<run_id, run_state> runs_;
     std::uint64_t last_run_ = 0;
-    /// Moving average of the share of failed answers, 0 to 1.
-    double failure_ratio_ = 0;
+    /// Moving average of the share of failed answers, 0 to 1, at the last answer.
+    double failure_ratio_at_answer_ = 0;
+    time_point failure_ratio_updated_at_{};
+    /// When this node last offered a request to the local backend server.
+    time_point own_attempted_at_{};
 
     directory peers_;
     /// Zones found by detect_silent_zones().
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -46,6 +46,12 @@
 /// hundred milliseconds.
 constexpr milliseconds early_refusal_wait{500};
 
+/// A node probes an owner that was slow or failing after this time without a request to it, for
+/// each node of the mesh: all nodes together probe an owner some times a second.
+constexpr duration probe_interval_per_node = 500ms;
+constexpr duration min_probe_interval = 2s;
+constexpr duration max_probe_interval = 30s;
+
 std::string outcome_name(mesh_wire::run_outcome::type outcome)
 {
     switch (outcome) {
@@ -211,7 +217,9 @@
         option.waiting = queue_.waiting();
         option.slots = queue_.slots();
         option.mean_hold = own_hold;
-        option.failure_ratio = failure_ratio_;
+        option.hold_is_measured = queue_.knows_hold(call.route_config->name);
+        option.failure_ratio = failure_ratio();
+        option.last_attempt_at = own_attempted_at_;
         option.tried = call.tried_backends.contains(own_backend_->id);
         options.push_back(std::move(option));
     }
@@ -235,6 +243,7 @@
             option.report_age < settings_.bounds.heartbeat_interval * max_trusted_heartbeats;
         option.mean_hold =
             remote.load.holds.mean_of(call.route_config->name, remote.load.mean_hold);
+        option.hold_is_measured = remote.load.holds.has_values_of(call.route_config->name);
         if (remote.app->cold_until > now_) {
             option.mean_hold *= 2;
         }
@@ -242,6 +251,7 @@
             continue;
         }
         option.failure_ratio = remote.load.failure_ratio;
+        option.last_attempt_at = remote.attempted_at;
         option.tried = call.tried_backends.contains(remote.app->id);
         options.push_back(std::move(option));
     }
@@ -296,6 +306,9 @@
         }
     }
     auto chosen = choose_candidate(with_free_slot, placement);
+    if (const auto probe = choose_probe(call, with_free_slot)) {
+        chosen = probe;
+    }
     if (const auto suggested = std::exchange(call.suggested_owner, std::nullopt)) {
         const auto option =
             std::find_if(with_free_slot.begin(), with_free_slot.end(),
@@ -311,6 +324,25 @@
     queue_at_best_owner(call, std::move(options), placement);
 }
 
+std::optional<std::size_t> node::choose_probe(const call_state& call,
+                                              const std::vector<candidate>& options) const
+{
+    // A probe may take long: a stopping node sends none.
+    if (stopping_ || call.backend_sends > 0 || !call.refused_owners.empty()) {
+        return std::nullopt;
+    }
+    const auto nodes = static_cast<duration::rep>(peers_.all().size() + 1);
+    const auto interval = std::clamp<duration>(probe_interval_per_node * nodes, min_probe_interval,
+                                               max_probe_interval);
+    const auto found = std::find_if(options.begin(), options.end(), [&](const candidate& option) {
+        return now_ - option.last_attempt_at > interval &&
+               is_avoided(option, options, call.route_config->objective, call.route_config->safe);
+    });
+    return found == options.end()
+               ? std::nullopt
+               : std::optional(static_cast<std::size_t>(found - options.begin()));
+}
+
 bool node::may_have_free_slot(const call_state& call, const candidate& option) const
 {
     if (call.refused_owners.contains(option.node)) {
@@ -383,12 +415,14 @@
     call.attempts.push_back(new_attempt);
     attempts_.emplace(id, call_key);
     if (to.node == settings_.node) {
+        own_attempted_at_ = now_;
         offer_run({std::nullopt, id}, run_frame, call.content);
         return;
     }
     auto* owner = peers_.find(to.node);
     owner->unanswered_since = owner->unanswered_since.value_or(now_);
     ++owner->load.sent_since;
+    owner->attempted_at = now_;
     run_frame.__set_method(call.content->method);
     run_frame.__set_target(call.content->target);
     run_frame.__set_head(call.content->head);
--- a/src/libmesh/node_check_ins.cpp
+++ b/src/libmesh/node_check_ins.cpp
@@ -108,7 +108,7 @@
              {"slots", std::to_string(input.slots)}});
         queue_.reset_hold_times();
         queue_.set_untracked_running(0, now_);
-        failure_ratio_ = 0;
+        failure_ratio_at_answer_ = 0;
         refuse_queued_runs("no_backend");
     } else if (own_backend_->state == backend_state::gone ||
                own_backend_->state == backend_state::draining) {
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -1,5 +1,6 @@
 // Runs on the local backend server: admission, queueing and answers. Every request for the local
 // backend server passes through here.
+#include "libmesh/aging_weight.h"
 #include "libmesh/log_text.h"
 #include "libmesh/node.h"
 
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace camphor::mesh {
 
@@ -16,6 +18,9 @@
 
 /// Weight of the newest answer in the moving average of the failure ratio.
 constexpr double failure_ratio_weight = 0.1;
+/// Time without answers in which the failure ratio is halved: a backend server that failed gets no
+/// requests, which could show that it no longer does.
+constexpr duration failure_ratio_half_life = 10s;
 constexpr double permille_of_one = 1000;
 /// A request with less time left than this is refused: it cannot be served before its deadline.
 constexpr auto min_time_left = 5ms;
@@ -145,7 +150,8 @@
     const auto hold = queue_.hold(route_name, queue_.mean_hold());
     load_report.__set_hold_ms(
         static_cast<std::int32_t>(std::chrono::duration_cast<milliseconds>(hold).count()));
-    load_report.__set_failing_permille(static_cast<std::int32_t>(failure_ratio_ * permille_of_one));
+    load_report.__set_failing_permille(
+        static_cast<std::int32_t>(failure_ratio() * permille_of_one));
     return load_report;
 }
 
@@ -224,7 +230,19 @@
 
 void node::update_failure_ratio(bool failed)
 {
-    failure_ratio_ += ((failed ? 1.0 : 0.0) - failure_ratio_) * failure_ratio_weight;
+    const auto before = failure_ratio();
+    const double weight =
+        failed ? failure_ratio_weight
+               : weight_of_better_value(failure_ratio_weight, now_ - failure_ratio_updated_at_);
+    failure_ratio_at_answer_ = before + ((failed ? 1.0 : 0.0) - before) * weight;
+    failure_ratio_updated_at_ = now_;
+}
+
+double node::failure_ratio() const
+{
+    const std::chrono::duration<double> age = now_ - failure_ratio_updated_at_;
+    const std::chrono::duration<double> half_life = failure_ratio_half_life;
+    return failure_ratio_at_answer_ * std::exp2(-age / half_life);
 }
 
 void node::handle(const backend_answered& input)
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -552,7 +552,7 @@
     if (route_name == nullptr) {
         from.load.mean_hold = hold;
     } else if (hold.count() > 0) {
-        from.load.holds.add(*route_name, hold);
+        from.load.holds.add(*route_name, hold, now_);
     }
     if (from.app) {
         from.app->slots = load.slots > 0 ? load.slots : from.app->slots;
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -25,6 +25,11 @@
 /// Ranks a backend server that has already failed to serve the request behind all others.
 constexpr double already_tried_loss = 1;
 
+/// A backend server is avoided from this failure ratio on, and when its requests may be late and
+/// take longer than this percentage of another one's.
+constexpr double avoided_failure_ratio = 0.02;
+constexpr int slow_percent = 150;
+
 } // namespace
 
 int expected_load(const candidate& target)
@@ -44,6 +49,20 @@
     return load < target.slots;
 }
 
+bool is_avoided(const candidate& target, const std::vector<candidate>& options, duration objective,
+                bool safe)
+{
+    if (target.failure_ratio >= avoided_failure_ratio) {
+        return safe;
+    }
+    const bool may_be_late = static_cast<double>(target.mean_hold.count()) >
+                             on_time_fraction * static_cast<double>(objective.count());
+    return may_be_late && std::any_of(options.begin(), options.end(), [&](const auto& option) {
+               return option.hold_is_measured &&
+                      target.mean_hold > option.mean_hold * slow_percent / 100;
+           });
+}
+
 double placement_cost(const candidate& target, const placement_request& request)
 {
     const int slots = std::max(target.slots, 1);
--- a/src/libmesh/placement.h
+++ b/src/libmesh/placement.h
@@ -1,6 +1,6 @@
 // Load balancing: chooses the backend server that runs a request. Handles slow and failing backend
-// servers, a full availability zone next to an idle one, a backend server that has just joined, and
-// load reports that are a few answers old.
+// servers, a full availability zone next to an idle one, a backend server that has just joined, one
+// that has recovered, and load reports that are a few answers old.
 #pragma once
 
 #include <camphortally/ids.h>
@@ -34,8 +34,12 @@
     bool tried = false;
     /// Mean time for which a request of the route holds a slot of this backend server.
     duration mean_hold{};
+    /// The mean comes from requests of the choosing node; otherwise it may be an assumption.
+    bool hold_is_measured = false;
     /// Fraction of its recent answers that were failures, in [0, 1].
     double failure_ratio = 0;
+    /// When the choosing node last sent a request to it.
+    time_point last_attempt_at{};
 };
 
 /// Parameters of one choice.
@@ -56,6 +60,11 @@
 /// True when the backend server is likely to have a free slot.
 bool seems_free(const candidate& target);
 
+/// True when placement keeps requests away from the backend server because it was slow or failing.
+/// A failing one is left out for requests that may not be repeated: they would fail as probes.
+bool is_avoided(const candidate& target, const std::vector<candidate>& options, duration objective,
+                bool safe);
+
 /// Expected loss of sending the request to the backend server, as a fraction of the request's
 /// value.
 double placement_cost(const candidate& target, const placement_request& request);
--- a/src/libmesh/recovery_test.cpp
+++ b/src/libmesh/recovery_test.cpp
@@ -136,3 +136,69 @@
     send_load(net, 1500ms, "ending");
     BOOST_TEST(send_load(net, 3s, "after") > 0.9);
 }
+
+namespace {
+
+struct avoided_case {
+    const char* name;
+    std::function<void(simulated_backend&)> inject_fault;
+    bool safe;
+};
+
+std::ostream& operator<<(std::ostream& out, const avoided_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<avoided_case> avoided_cases{
+    {"slow", [](simulated_backend& app) { app.work = sound_work * 7; }, true},
+    {"slow, requests run at most once", [](simulated_backend& app) { app.work = sound_work * 7; },
+     false},
+    {"failing", [](simulated_backend& app) { app.status = 500; }, true},
+    {"failing, requests run at most once", [](simulated_backend& app) { app.status = 500; }, false},
+};
+
+} // namespace
+
+// Guards against a sound backend server that stands idle because it was slow or failing while the
+// others can take all requests.
+BOOST_DATA_TEST_CASE(a_backend_server_that_was_avoided_is_used_again,
+                     boost::unit_test::data::make(avoided_cases), sample)
+{
+    simulated_mesh net(node_count);
+    net.configure(sample.safe, 800ms, 400ms);
+    check_in_all(net);
+    net.run_for(100ms);
+    send_load(net, 2s, "before");
+    sample.inject_fault(net.app(1));
+    send_load(net, 5s, "fault");
+    net.app(1).work = sound_work;
+    net.app(1).status = 200;
+    // Without requests that may fail, the failures are forgotten.
+    send_load(net, sample.safe ? 10s : 45s, "recovering");
+    const int before = net.app(1).arrivals;
+    BOOST_TEST(send_load(net, 5s, "after") > 0.95);
+    const double share =
+        static_cast<double>(net.app(1).arrivals - before) / (5 * requests_per_second);
+    BOOST_TEST_MESSAGE("share of the backend server " << share);
+    BOOST_TEST(share > 0.15);
+}
+
+// Guards against probes that harm callers while a backend server is still slow or failing.
+BOOST_DATA_TEST_CASE(a_backend_server_that_is_still_bad_gets_few_requests,
+                     boost::unit_test::data::make(avoided_cases), sample)
+{
+    simulated_mesh net(node_count);
+    net.configure(sample.safe, 800ms, 400ms);
+    check_in_all(net);
+    net.run_for(100ms);
+    send_load(net, 2s, "before");
+    sample.inject_fault(net.app(1));
+    send_load(net, 5s, "fault");
+    const int before = net.app(1).arrivals;
+    BOOST_TEST(send_load(net, 20s, "still bad") > 0.97);
+    const double share =
+        static_cast<double>(net.app(1).arrivals - before) / (20 * requests_per_second);
+    BOOST_TEST_MESSAGE("share of the backend server " << share);
+    BOOST_TEST(share < 0.05);
+}
--- a/src/libmesh/slot_queue.cpp
+++ b/src/libmesh/slot_queue.cpp
@@ -103,7 +103,7 @@
     const auto position = running_.find(run);
     if (position != running_.end()) {
         if (answered) {
-            holds_.add(position->second.route, now - position->second.started_at);
+            holds_.add(position->second.route, now - position->second.started_at, now);
         }
         running_.erase(position);
         untracked_running_ = std::max(untracked_running_, -running());
--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -81,6 +81,7 @@
     {
         return holds_.mean_of(route, prior);
     }
+    bool knows_hold(const route_id& route) const { return holds_.has_values_of(route); }
     duration mean_hold() const { return holds_.mean(initial_mean_hold); }
     /// Discards the learned hold times, for use when another backend server takes over the address.
     void reset_hold_times() { holds_.clear(); }
