Keep dialling nodes that have been unreachable for minutes

Cause: both sides of a partition of more than 120 s forgot each other, and the list of nodes is read at the start only, so that neither dialled the other after it. Evidence: recovery_test, cut off for 150 s and 1,800 s: no request in the 14 s after. Change: after 120 s a node is dialled every 10 s, and forgotten after two hours. Tests: recovery_test, 2 of 3 lengths failed before; all pass now. Conclusion: nodes that return are in use within 11 s. A node that has gone for good costs each other one a connection attempt every 10 s for two hours.

--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -18,9 +18,13 @@
 /// Delay before the first redial of a lost node; doubled after each failed dial.
 constexpr duration initial_redial_backoff = 50ms;
 constexpr int max_backoff_doublings = 5;
-/// A node that has been unreachable for this long is removed from the directory. It announces
-/// itself when it returns.
-constexpr auto forget_peer_after = 120s;
+/// A node that has been unreachable for this long has probably left, and is dialled less often. It
+/// may also be cut off.
+constexpr auto presumed_left_after = 120s;
+constexpr duration presumed_left_redial_interval = 10s;
+/// A node that has been unreachable for this long is removed from the directory. Longer than
+/// regions are cut off from each other.
+constexpr auto forget_peer_after = 2h;
 constexpr double permille_of_one = 1000;
 /// A node that reads the store for its zone sends keep-alives at this interval, and is replaced
 /// when nothing was heard from it for the timeout. Both are short enough for a configuration to be
@@ -195,8 +199,11 @@
     lost.link.reset();
     lost.store_fresh = false;
     lost.dialling = false;
+    const bool has_probably_left = lost.lost_at && now_ - *lost.lost_at > presumed_left_after;
     lost.next_dial =
-        now_ + initial_redial_backoff * (1 << std::min(lost.failed_dials, max_backoff_doublings));
+        now_ + (has_probably_left ? presumed_left_redial_interval
+                                  : initial_redial_backoff *
+                                        (1 << std::min(lost.failed_dials, max_backoff_doublings)));
     ++lost.failed_dials;
     if (!lost.lost_at) {
         lost.lost_at = now_;
--- a/src/libmesh/recovery_test.cpp
+++ b/src/libmesh/recovery_test.cpp
@@ -202,3 +202,20 @@
     BOOST_TEST_MESSAGE("share of the backend server " << share);
     BOOST_TEST(share < 0.05);
 }
+
+// Guards against nodes that never find each other again after they were cut off for minutes.
+BOOST_DATA_TEST_CASE(a_node_that_was_cut_off_is_in_use_again,
+                     boost::unit_test::data::make({10, 150, 1'800}), seconds)
+{
+    simulated_mesh net(node_count);
+    net.configure(true, 800ms, 400ms);
+    check_in_all(net);
+    net.run_for(100ms);
+    net.cut_off(1);
+    net.run_for(std::chrono::seconds(seconds));
+    net.set_partitioned(1, false);
+    net.run_for(11s);
+    const int before = net.app(1).arrivals;
+    BOOST_TEST(send_load(net, 3s, "after") > 0.95);
+    BOOST_TEST(net.app(1).arrivals > before);
+}
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -188,6 +188,22 @@
         hosts_.at(i)->is_partitioned = is_partitioned;
     }
 
+    /// Partitions the node, and its connections are given up at both ends.
+    void cut_off(std::size_t i)
+    {
+        auto& cut = *hosts_.at(i);
+        cut.is_partitioned = true;
+        std::vector<std::uint64_t> keys;
+        for (const auto& [key, entry] : links_) {
+            if (entry.from == &cut || entry.to == &cut) {
+                keys.push_back(key);
+            }
+        }
+        for (const auto key : keys) {
+            close_both_ends(key);
+        }
+    }
+
     /// The node's process is killed: its connections close.
     void kill(std::size_t i) { kill_host(*hosts_.at(i)); }
 
