Count a low failure ratio as none, so that recovered backend servers are used as others

Cause: what was left of the failure ratio, a hundredth, outweighs a small difference in use. Ruled out: the queue of its owner (no refusal after 23.5 s), its hold time (each probe took 120 ms). Change: a failure ratio under 0.02 counts as none; each ratio above it makes a backend server avoided, and so probed.

--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -21,6 +21,8 @@
 /// Time without answers in which the failure ratio is halved: a backend server that failed gets no
 /// requests, which could show that it no longer does.
 constexpr duration failure_ratio_half_life = 10s;
+/// A lower ratio counts as none, so that a backend server which has recovered is as good as others.
+constexpr double min_failure_ratio = 0.02;
 constexpr double permille_of_one = 1000;
 /// A request with less time left than this is refused: it cannot be served before its deadline.
 constexpr auto min_time_left = 5ms;
@@ -242,7 +244,8 @@
 {
     const std::chrono::duration<double> age = now_ - failure_ratio_updated_at_;
     const std::chrono::duration<double> half_life = failure_ratio_half_life;
-    return failure_ratio_at_answer_ * std::exp2(-age / half_life);
+    const auto ratio = failure_ratio_at_answer_ * std::exp2(-age / half_life);
+    return ratio < min_failure_ratio ? 0 : ratio;
 }
 
 void node::handle(const backend_answered& input)
--- a/src/libmesh/placement.cpp
+++ b/src/libmesh/placement.cpp
@@ -25,9 +25,8 @@
 /// Ranks a backend server that has already failed to serve the request behind all others.
 constexpr double already_tried_loss = 1;
 
-/// A backend server is avoided from this failure ratio on, and when its requests may be late and
-/// take longer than this percentage of another one's.
-constexpr double avoided_failure_ratio = 0.02;
+/// A backend server is slow when its requests may be late and take longer than this percentage of
+/// another one's.
 constexpr int slow_percent = 150;
 
 } // namespace
@@ -52,7 +51,7 @@
 bool is_avoided(const candidate& target, const std::vector<candidate>& options, duration objective,
                 bool safe)
 {
-    if (target.failure_ratio >= avoided_failure_ratio) {
+    if (target.failure_ratio > 0) {
         return safe;
     }
     const bool may_be_late = static_cast<double>(target.mean_hold.count()) >
--- a/src/libmesh/recovery_test.cpp
+++ b/src/libmesh/recovery_test.cpp
@@ -155,6 +155,7 @@
     {"slow, requests run at most once", [](simulated_backend& app) { app.work = sound_work * 7; },
      false},
     {"failing", [](simulated_backend& app) { app.status = 500; }, true},
+    {"rejecting", [](simulated_backend& app) { app.shed_period = 1; }, true},
     {"failing, requests run at most once", [](simulated_backend& app) { app.status = 500; }, false},
 };
 
@@ -174,6 +175,7 @@
     send_load(net, 5s, "fault");
     net.app(1).work = sound_work;
     net.app(1).status = 200;
+    net.app(1).shed_period = 0;
     // Without requests that may fail, the failures are forgotten.
     send_load(net, sample.safe ? 10s : 45s, "recovering");
     const int before = net.app(1).arrivals;
