--- a/src/libmesh/departures_test.cpp
+++ b/src/libmesh/departures_test.cpp
@@ -128,6 +128,36 @@
     BOOST_TEST(net.core(0).own_backend()->accepts_requests());
 }
 
+// Guards against the same after a restart of a single node, which the others tell what it forgot.
+BOOST_DATA_TEST_CASE(a_restarted_node_does_not_take_back_a_backend_server_that_left,
+                     boost::unit_test::data::make(departure_cases), scenario)
+{
+    simulated_mesh net(node_count);
+    net.configure(true);
+    for (std::size_t i = 0; i < node_count; ++i) {
+        net.check_in(i);
+    }
+    net.run_for(100ms);
+    scenario.leave(net);
+    net.run_for(100ms);
+    net.kill(0);
+    net.run_for(300ms);
+    // A check-in of the backend server that had been delayed arrives.
+    net.restart_node(0);
+    net.run_for(500ms);
+    BOOST_TEST(!net.core(0).own_backend()->accepts_requests());
+    for (int i = 0; i < 60; ++i) {
+        net.send(static_cast<std::size_t>(i) % node_count, "r" + std::to_string(i));
+        net.run_for(10ms);
+    }
+    BOOST_TEST(net.app(0).requests_after_leaving == 0);
+    // A later start under the same id is taken.
+    ++net.app(0).life;
+    net.app(0).leaving = false;
+    net.check_in(0);
+    BOOST_TEST(net.core(0).own_backend()->accepts_requests());
+}
+
 // Guards against sound backend servers that stand idle after a restart of all nodes.
 BOOST_AUTO_TEST_CASE(a_sound_backend_server_is_used_at_once_after_a_restart_of_all_nodes)
 {
--- a/src/libmesh/mesh_load_test.cpp
+++ b/src/libmesh/mesh_load_test.cpp
@@ -323,53 +323,6 @@
     BOOST_TEST(net.core(0).own_backend()->accepts_requests());
 }
 
-struct departure_case {
-    const char* name;
-    std::function<void(simulated_mesh&)> leave;
-};
-
-std::ostream& operator<<(std::ostream& out, const departure_case& scenario)
-{
-    return out << scenario.name;
-}
-
-const std::vector<departure_case> departure_cases{
-    {"it drains",
-     [](simulated_mesh& net) {
-         net.check_in(0, true);
-     }},
-    {"it deregisters",
-     [](simulated_mesh& net) {
-         net.deregister_backend(0);
-     }},
-};
-
-BOOST_DATA_TEST_CASE(a_restarted_node_does_not_take_back_a_backend_server_that_left,
-                     boost::unit_test::data::make(departure_cases), scenario)
-{
-    simulated_mesh net(node_count);
-    net.configure(true);
-    check_in_all(net);
-    scenario.leave(net);
-    net.run_for(100ms);
-    net.kill(0);
-    net.run_for(300ms);
-    // A check-in of the backend server that had been delayed arrives.
-    net.restart_node(0);
-    net.run_for(500ms);
-    BOOST_TEST(!net.core(0).own_backend()->accepts_requests());
-    for (int i = 0; i < 60; ++i) {
-        net.send(static_cast<std::size_t>(i) % node_count, "r" + std::to_string(i));
-        net.run_for(10ms);
-    }
-    BOOST_TEST(net.app(0).requests_after_leaving == 0);
-    // A later start under the same id is taken.
-    ++net.app(0).life;
-    net.app(0).leaving = false;
-    net.check_in(0);
-    BOOST_TEST(net.core(0).own_backend()->accepts_requests());
-}
-
 BOOST_AUTO_TEST_CASE(refuses_requests_between_shutdown_and_exit)
 {
     simulated_mesh net(node_count);
--- a/src/libmesh/recovery_test.cpp
+++ b/src/libmesh/recovery_test.cpp
@@ -159,6 +159,17 @@
     {"failing, requests run at most once", [](simulated_backend& app) { app.status = 500; }, false},
 };
 
+/// Backend server 1 is at fault for long enough that placement avoids it.
+void run_until_avoided(simulated_mesh& net, const avoided_case& sample)
+{
+    net.configure(sample.safe, 800ms, 400ms);
+    check_in_all(net);
+    net.run_for(100ms);
+    send_load(net, 2s, "before");
+    sample.inject_fault(net.app(1));
+    send_load(net, 5s, "fault");
+}
+
 } // namespace
 
 // Guards against a sound backend server that stands idle because it was slow or failing while the
@@ -167,12 +178,7 @@
                      boost::unit_test::data::make(avoided_cases), sample)
 {
     simulated_mesh net(node_count);
-    net.configure(sample.safe, 800ms, 400ms);
-    check_in_all(net);
-    net.run_for(100ms);
-    send_load(net, 2s, "before");
-    sample.inject_fault(net.app(1));
-    send_load(net, 5s, "fault");
+    run_until_avoided(net, sample);
     net.app(1).work = sound_work;
     net.app(1).status = 200;
     net.app(1).shed_period = 0;
@@ -191,12 +197,7 @@
                      boost::unit_test::data::make(avoided_cases), sample)
 {
     simulated_mesh net(node_count);
-    net.configure(sample.safe, 800ms, 400ms);
-    check_in_all(net);
-    net.run_for(100ms);
-    send_load(net, 2s, "before");
-    sample.inject_fault(net.app(1));
-    send_load(net, 5s, "fault");
+    run_until_avoided(net, sample);
     const int before = net.app(1).arrivals;
     BOOST_TEST(send_load(net, 20s, "still bad") > 0.97);
     const double share =
