Do not raise the share of a release that has lost all its backend servers

Ruled out: outcomes of the crash itself (they are counted, 3 of 39); the exposure bound of a single stage. Change: the leader notes when the new release has no backend server in use: its share stays, the clock of the stage stands still, and from then on each stage needs answers of its own; a move without them is taken back. Conclusion: missing evidence isn't taken for good evidence after an outage.

--- a/src/include/camphortally/move_policy.h
+++ b/src/include/camphortally/move_policy.h
@@ -40,6 +40,10 @@
     void observe(const evidence_key& key, const call_evidence& seen);
     /// A proxy stopped sending to the new release on its own evidence.
     void proxy_stopped(const std::string& reason);
+    /// Nothing was learned about the new release for `span`: the clock of the stage stood still.
+    /// From then on each stage needs answers of its own, whatever the operator set for thin
+    /// evidence, and a move without them is taken back. What was learned before stays.
+    void add_outage(std::chrono::milliseconds span);
     /// Closes the window and decides. After a decision other than `hold`, asks the same again until
     /// set_move() shows that it was accepted.
     move_decision decide(wall_time now);
@@ -82,6 +86,10 @@
     move_decision decide_soak(wall_time now);
     move_decision next_stage(std::int32_t stage, std::string reason);
     move_decision answer_thin(const std::string& why);
+    /// What becomes of a move that cannot be judged in time.
+    thin_evidence on_thin_evidence() const;
+    /// Whether there are too few answers of the new release to leave the stage.
+    bool is_thin() const;
     move_decision end(move_action action, std::string reason) const;
     move_decision end(move_action action, std::string reason, const judged_slice& item) const;
     std::string evidence_of(const judged_slice& item) const;
@@ -106,6 +114,8 @@
     /// By name; "all" is the whole traffic, the others a route or a zone.
     std::map<std::string, judged_slice> slices_;
     std::optional<std::string> stopped_reason_;
+    /// There was an outage: each stage needs evidence of its own.
+    bool interrupted_ = false;
     /// Slow part of the calls at the last excused alarm; 0 when there was none.
     double excused_ratio_ = 0;
     std::optional<wall_time> excused_at_;
--- a/src/libcamphor/move_policy.cpp
+++ b/src/libcamphor/move_policy.cpp
@@ -168,6 +168,17 @@
     }
 }
 
+void move_policy::add_outage(milliseconds span)
+{
+    interrupted_ = true;
+    status_.changed_at += span;
+}
+
+thin_evidence move_policy::on_thin_evidence() const
+{
+    return interrupted_ ? thin_evidence::revert : spec_.on_thin_evidence;
+}
+
 void move_policy::close_window()
 {
     for (auto& [name, item] : slices_) {
@@ -245,11 +256,20 @@
     }
 }
 
+bool move_policy::is_thin() const
+{
+    const auto& failures = slices_.at(whole_traffic).slice.comparison(symptom::failures);
+    const double before =
+        status_.stage > 1 ? stages_.at(static_cast<std::size_t>(status_.stage) - 2).least_calls : 0;
+    const bool has_own_calls =
+        !interrupted_ || failures.new_since_mark().calls >= rule().least_calls - before;
+    return !has_own_calls || failures.new_total().calls < rule().least_calls ||
+           failures.excess_bound() > rule().excess_bound;
+}
+
 move_decision move_policy::decide_stage(wall_time now)
 {
-    const auto& failures = slice(whole_traffic).slice.comparison(symptom::failures);
-    const bool thin = failures.new_total().calls < rule().least_calls ||
-                      failures.excess_bound() > rule().excess_bound;
+    const bool thin = is_thin();
     const auto worse = probably_worse();
     const auto doubt = worse ? worse : suspicious();
     const bool paused = excused_at_ && now < *excused_at_ + excuse_pause;
@@ -270,7 +290,7 @@
 
 move_decision move_policy::answer_thin(const std::string& why)
 {
-    if (spec_.on_thin_evidence == thin_evidence::revert) {
+    if (on_thin_evidence() == thin_evidence::revert) {
         return end(move_action::revert, why);
     }
     // One stage at a time: what shows only under more traffic still shows at a part of it.
@@ -296,7 +316,7 @@
     if (failures.new_since_mark().calls >= least_soak_calls) {
         return end(move_action::complete, "as good as the old release after the soak");
     }
-    if (spec_.on_thin_evidence == thin_evidence::complete) {
+    if (on_thin_evidence() == thin_evidence::complete) {
         return end(move_action::complete, "too little traffic to judge the new release; completed "
                                           "as set");
     }
@@ -393,7 +413,10 @@
 {
     const auto stages_left =
         static_cast<std::int64_t>(stages_.size()) - 1 - static_cast<std::int64_t>(status_.stage);
-    return soak_start() - least_stage * std::max<std::int64_t>(stages_left, 0);
+    const auto stages_end = interrupted_ ? spec_.deadline - last_moment -
+                                               std::chrono::duration_cast<milliseconds>(spec_.soak)
+                                         : soak_start();
+    return stages_end - least_stage * std::max<std::int64_t>(stages_left, 0);
 }
 
 bool move_policy::is_full() const
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -481,9 +481,19 @@
         }
         return longest;
     };
+    const auto has_backend = [this](const service_id& service, const release_id& release) {
+        const auto is_in_use = [&](const std::optional<backend>& app) {
+            return app && app->service == service && app->release == release &&
+                   app->accepts_requests();
+        };
+        return is_in_use(own_backend_) ||
+               std::any_of(peers_.all().begin(), peers_.all().end(), [&](const auto& entry) {
+                   return entry.second.link && is_in_use(entry.second.app);
+               });
+    };
     const bool is_settled = now_ >= leader_since_ + leader_takeover_delay;
-    auto decision =
-        rollouts_.decide(now_, {settings_.bounds.exposure_share, is_settled, longest_request});
+    auto decision = rollouts_.decide(
+        now_, {settings_.bounds.exposure_share, is_settled, longest_request, has_backend});
     for (auto& line : decision.lines) {
         effects_.emplace_back(std::move(line));
     }
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -411,6 +411,9 @@
     if (!raises_share) {
         return {decided, false};
     }
+    if (evidence.down_since) {
+        return {{}, true};
+    }
     if (!allowed.may_raise_share) {
         return {{}, false};
     }
@@ -426,10 +429,28 @@
     return {decided, false};
 }
 
+void rollouts::watch_outage(const rollout_view& view, evaluation& evidence, time_point now,
+                            const limits& allowed, decisions& out)
+{
+    const bool up = allowed.has_backend(view.order.service, view.order.target);
+    evidence.has_started = evidence.has_started || up;
+    if (!up && evidence.has_started && !evidence.down_since) {
+        evidence.down_since = now;
+        evidence.policy->add_outage({});
+        out.lines.push_back(make_line("rollout.interrupted", view, evidence, now));
+    } else if (up && evidence.down_since) {
+        evidence.policy->add_outage(
+            std::chrono::duration_cast<milliseconds>(now - *evidence.down_since));
+        evidence.down_since.reset();
+        out.lines.push_back(make_line("rollout.resumed", view, evidence, now));
+    }
+}
+
 void rollouts::decide_one(rollout_view& view, time_point now, const limits& allowed, decisions& out)
 {
     sync_policy(view, now, allowed);
     auto& evidence = evaluations_.at(view.order.service);
+    watch_outage(view, evidence, now, allowed, out);
     const auto [decided, held] = judge(view, now, allowed);
     if (held && !evidence.held) {
         out.lines.push_back(make_line("rollout.held", view, evidence, now));
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -92,6 +92,8 @@
         bool may_raise_share = true;
         /// Longest time that a request of the service may take.
         std::function<duration(const service_id&)> longest_request;
+        /// Whether a backend server of the service with this release is in use.
+        std::function<bool(const service_id&, const release_id&)> has_backend;
     };
     /// Decides on every roll-out. Called by the leader only.
     decisions decide(time_point now, const limits& allowed);
@@ -126,6 +128,11 @@
         std::optional<time_point> failing_since;
         /// The last decision would have raised the share, but the new release is in doubt.
         bool held = false;
+        /// The new release has had a backend server in use.
+        bool has_started = false;
+        /// Since when the new release has no backend server in use any more; none while it has one.
+        /// Its share is not raised then, since nothing is learned about it.
+        std::optional<time_point> down_since;
     };
     /// What the leader decides on one roll-out. `held`: see evaluation::held.
     struct judgement {
@@ -163,6 +170,9 @@
                               const evaluation& evidence, time_point now);
     /// Decides on one roll-out.
     void decide_one(rollout_view& view, time_point now, const limits& allowed, decisions& out);
+    /// Notes whether the new release has backend servers, and tells the policy of an outage.
+    static void watch_outage(const rollout_view& view, evaluation& evidence, time_point now,
+                             const limits& allowed, decisions& out);
     /// Sets the policy to the share and stage of `view`. Creates it for a new order.
     void sync_policy(const rollout_view& view, time_point now, const limits& allowed);
     /// Requests a write of the status when the store does not hold it.
--- a/src/libmesh/test_rollout.h
+++ b/src/libmesh/test_rollout.h
@@ -35,7 +35,9 @@
 inline void check_in_all(simulated_mesh& net)
 {
     for (std::size_t i = 0; i < node_count; ++i) {
-        net.check_in(i);
+        if (!net.app(i).crashed) {
+            net.check_in(i);
+        }
     }
 }
 
