Send large bodies between nodes in parts; end no process on an exception of a handler

Ruled out: the listener (it admits what the configuration allows), the backend server's connection. Change: bodies over 64 KiB go in parts, one with each write of a link, in turn; a frame that can't be encoded closes its link; exceptions of handlers are logged, counted and end their own connection, event or effect. Tests: body_parts_test and peer_links_test, with lengths at 0, the limits less one, the limits, and one more.

--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -44,6 +44,9 @@
 };
 using answer_ptr = std::shared_ptr<const answer>;
 
+/// Body of a request or an answer; shares the ownership of it.
+using body_ptr = std::shared_ptr<const std::string>;
+
 /// Number of requests at a backend server, as counted by the backend server itself.
 struct backend_load_report {
     int running = 0;
@@ -280,6 +283,9 @@
 struct send_to_peer {
     link_id link;
     mesh_wire::mesh_frame frame;
+    /// Body of the frame's run request or answer, which the frame itself does not hold; null when
+    /// there is none.
+    body_ptr body{};
 };
 
 struct close_link {
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -337,7 +337,7 @@
 
     // node_peers.cpp: connections to other nodes and the frames exchanged with them.
     void dial_disconnected_peers();
-    void send_frame(link_id link, mesh_wire::mesh_frame frame);
+    void send_frame(link_id link, mesh_wire::mesh_frame frame, body_ptr body = nullptr);
     mesh_wire::mesh_frame make_state_frame() const;
     enum class audience : std::uint8_t { all, own_zone };
     /// Sends the state of this node to the nodes that dialled it.
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -426,12 +426,11 @@
     run_frame.__set_method(call.content->method);
     run_frame.__set_target(call.content->target);
     run_frame.__set_head(call.content->head);
-    run_frame.__set_body(call.content->body);
     run_frame.__set_request_id(call.content->id);
     mesh_wire::mesh_frame frame;
     frame.run = std::move(run_frame);
     frame.__isset.run = true;
-    send_frame(*owner->link, std::move(frame));
+    send_frame(*owner->link, std::move(frame), {call.content, &call.content->body});
 }
 
 void node::on_result(attempt_id id, const run_result& result)
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -140,7 +140,8 @@
     mesh_wire::mesh_frame frame;
     frame.answer = make_run_answer(run.origin, result, run.route_name);
     frame.__isset.answer = true;
-    send_frame(*run.origin.link, std::move(frame));
+    send_frame(*run.origin.link, std::move(frame),
+               result.content ? body_ptr(result.content, &result.content->body) : nullptr);
 }
 
 mesh_wire::owner_load node::current_load(const route_id& route_name) const
@@ -225,7 +226,6 @@
     if (result.content) {
         frame.__set_status(result.content->status);
         frame.__set_head(result.content->head);
-        frame.__set_body(result.content->body);
     }
     return frame;
 }
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -240,13 +240,13 @@
     effects_.emplace_back(close_link{link});
 }
 
-void node::send_frame(link_id link, mesh_wire::mesh_frame frame)
+void node::send_frame(link_id link, mesh_wire::mesh_frame frame, body_ptr body)
 {
     const auto known = links_.find(link);
     if (known == links_.end()) {
         return;
     }
-    effects_.emplace_back(send_to_peer{link, std::move(frame)});
+    effects_.emplace_back(send_to_peer{link, std::move(frame), std::move(body)});
 }
 
 mesh_wire::mesh_frame node::make_state_frame() const
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -831,8 +831,13 @@
             if (from.is_partitioned || to->is_partitioned) {
                 return;
             }
-            auto frame = std::make_shared<const mesh_wire::mesh_frame>(command.frame);
-            schedule(link_delay + transmission_delay(from, command.frame),
+            auto with_body = command.frame;
+            if (command.body) {
+                (with_body.__isset.run ? with_body.run.body : with_body.answer.body) =
+                    *command.body;
+            }
+            auto frame = std::make_shared<const mesh_wire::mesh_frame>(std::move(with_body));
+            schedule(link_delay + transmission_delay(from, *frame),
                      [this, to, receiver_link, frame] {
                          feed(*to, frame_arrived{receiver_link, frame});
                      });
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -13,6 +13,7 @@
 #include "platform/header_names.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <map>
 #include <optional>
@@ -290,21 +291,23 @@
         shell::add_field(output_, "Content-Length", std::to_string(content.body.size()));
     }
     output_ += "\r\n";
-    output_ += content.body;
     ++owner_->counters.requests;
     ++request_count_;
     answered_ = false;
     stray_answers_ = 0;
     interim_answers_ = 0;
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(output_),
-                      [self = shared_from_this()](error_code error, std::size_t) {
-                          self->writing_ = false;
-                          // The pending read reports a failed write; it may still get an answer.
-                          if (!error && self->answered_ && !self->closed_) {
-                              self->become_idle();
-                          }
-                      });
+    const std::array<asio::const_buffer, 2> message{asio::buffer(output_),
+                                                    asio::buffer(content.body)};
+    asio::async_write(
+        socket_, message,
+        [self = shared_from_this(), kept = request_.content](error_code error, std::size_t) {
+            self->writing_ = false;
+            // The pending read reports a failed write; it may still get an answer.
+            if (!error && self->answered_ && !self->closed_) {
+                self->become_idle();
+            }
+        });
     read();
 }
 
--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -56,6 +56,17 @@
 {
 }
 
+template <class Handler>
+void http_connection::guard(Handler handler)
+{
+    try {
+        handler();
+    } catch (const std::exception& error) {
+        handlers_.on_failure(error.what());
+        close_now();
+    }
+}
+
 void http_connection::start()
 {
     shell::set_tcp_options(socket_);
@@ -74,9 +85,10 @@
     if (pending_.empty()) {
         arm_idle_timer();
     }
-    http::async_read_header(
-        socket_, input_, *parser_,
-        [self = shared_from_this()](error_code error, std::size_t) { self->on_header(error); });
+    http::async_read_header(socket_, input_, *parser_,
+                            [self = shared_from_this()](error_code error, std::size_t) {
+                                self->guard([&] { self->on_header(error); });
+                            });
 }
 
 void http_connection::on_header(error_code error)
@@ -117,9 +129,10 @@
 void http_connection::read_body()
 {
     arm_idle_timer();
-    http::async_read(
-        socket_, input_, *parser_,
-        [self = shared_from_this()](error_code error, std::size_t) { self->on_body(error); });
+    http::async_read(socket_, input_, *parser_,
+                     [self = shared_from_this()](error_code error, std::size_t) {
+                         self->guard([&] { self->on_body(error); });
+                     });
 }
 
 void http_connection::on_body(error_code error)
--- a/src/libsidecar/http_listener.h
+++ b/src/libsidecar/http_listener.h
@@ -32,6 +32,9 @@
     /// The connection was closed before the request with this number was answered.
     std::function<void(std::uint64_t)> on_client_gone = [](std::uint64_t) {
     };
+    /// A handler threw an exception, which closes its connection.
+    std::function<void(const std::string&)> on_failure = [](const std::string&) {
+    };
     /// Whether connections are to be closed after their next answer.
     std::function<bool()> is_closing = [] {
         return false;
@@ -97,6 +100,9 @@
     void arm_idle_timer();
     void discard_input();
     void close_now();
+    /// Runs `handler`; an exception closes the connection.
+    template <class Handler>
+    void guard(Handler handler);
 
     boost::asio::ip::tcp::socket socket_;
     shell::cancellable_timer timer_;
--- a/src/libsidecar/peer_links.cpp
+++ b/src/libsidecar/peer_links.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio.hpp>
 
+#include "libmesh/body_parts.h"
 #include "libmesh/frame_batch.h"
 #include "libshell/cancellable_timer.h"
 #include "libshell/tcp_options.h"
@@ -91,7 +92,24 @@
         read();
     }
 
-    void send(const std::string& bytes)
+    void send(mesh_wire::mesh_frame frame, mesh::body_ptr body)
+    {
+        if (frame.__isset.cancel) {
+            if (const auto notice = parts_.drop_run(frame.cancel.call)) {
+                queue(shell::encode_frame(*notice));
+            }
+        }
+        if (body && body->size() > mesh::body_part_bytes) {
+            queue(shell::encode_frame(parts_.add(std::move(frame), std::move(body))));
+            return;
+        }
+        if (body) {
+            (frame.__isset.run ? frame.run.body : frame.answer.body) = *body;
+        }
+        queue(shell::encode_frame(frame));
+    }
+
+    void queue(const std::string& bytes)
     {
         if (queued_.size() + bytes.size() > max_queued_bytes) {
             asio::post(owner_->io, [self = shared_from_this()] { self->close(); });
@@ -116,7 +134,7 @@
     void close_after_write()
     {
         close_when_written_ = true;
-        if (!writing_ && queued_.empty()) {
+        if (!writing_ && queued_.empty() && parts_.empty()) {
             error_code ignored;
             socket_.shutdown(tcp::socket::shutdown_send, ignored);
         }
@@ -138,12 +156,19 @@
 private:
     void write()
     {
-        if (writing_ || queued_.empty() || closed_) {
+        if (writing_ || closed_) {
             return;
         }
-        writing_ = true;
         sending_.swap(queued_);
         queued_.clear();
+        // One part a write, so that small frames wait for no more than that.
+        if (const auto part = parts_.next_part()) {
+            sending_ += shell::encode_frame(*part);
+        }
+        if (sending_.empty()) {
+            return;
+        }
+        writing_ = true;
         asio::async_write(socket_, asio::buffer(sending_),
                           [self = shared_from_this()](error_code error, std::size_t) {
                               self->writing_ = false;
@@ -175,8 +200,14 @@
                     return;
                 }
                 self->owner_->counters.bytes_received += received;
-                if (self->deliver_frames()) {
-                    self->read();
+                try {
+                    if (self->deliver_frames()) {
+                        self->read();
+                    }
+                } catch (const std::exception&) {
+                    // Out of memory, for example; the requests on the link fail at once.
+                    ++self->owner_->counters.invalid_frames;
+                    self->close();
                 }
             });
     }
@@ -211,14 +242,21 @@
                 if (input_.size() - offset < shell::frame_header_bytes + length) {
                     break;
                 }
-                batch.push_back(
-                    std::make_shared<const mesh_wire::mesh_frame>(shell::decode_mesh_frame(
-                        input_.substr(offset + shell::frame_header_bytes, length))));
+                auto frame = std::make_shared<const mesh_wire::mesh_frame>(shell::decode_mesh_frame(
+                    input_.substr(offset + shell::frame_header_bytes, length)));
+                if (frame->__isset.split || frame->__isset.part) {
+                    frame = bodies_.add(*frame);
+                }
+                if (frame) {
+                    batch.push_back(std::move(frame));
+                }
                 offset += shell::frame_header_bytes + length;
                 ++owner_->counters.frames_received;
             }
         } catch (const shell::wire_error&) {
             return false;
+        } catch (const mesh::body_part_error&) {
+            return false;
         }
         input_.erase(0, offset);
         return true;
@@ -229,6 +267,8 @@
     tcp::socket socket_;
     shell::cancellable_timer timer_;
     std::optional<node_id> dialled_node_;
+    mesh::body_assembler bodies_;
+    mesh::body_splitter parts_;
     std::string input_;
     std::string queued_;
     std::string sending_;
@@ -285,11 +325,17 @@
     connection->dial(peer);
 }
 
-void peer_links::send(mesh::link_id link, const mesh_wire::mesh_frame& frame)
+void peer_links::send(const mesh::send_to_peer& message)
 {
-    const auto found = impl_->links.find(link);
-    if (found != impl_->links.end()) {
-        found->second->send(shell::encode_frame(frame));
+    const auto found = impl_->links.find(message.link);
+    if (found == impl_->links.end()) {
+        return;
+    }
+    try {
+        found->second->send(message.frame, message.body);
+    } catch (const shell::wire_error&) {
+        ++impl_->counters.oversized_frames;
+        close(message.link);
     }
 }
 
--- a/src/libsidecar/peer_links.h
+++ b/src/libsidecar/peer_links.h
@@ -20,6 +20,8 @@
     std::uint64_t bytes_received = 0;
     /// Frames that could not be decoded.
     std::uint64_t invalid_frames = 0;
+    /// Frames over the limit, which were not sent.
+    std::uint64_t oversized_frames = 0;
 };
 
 /// Accepts and opens connections to the other nodes. An undecodable frame closes its connection.
@@ -40,8 +42,9 @@
 
     /// Connects to `peer`; the result is reported as link_opened or link_closed.
     void dial(const mesh_wire::node_record& peer);
-    /// Queues a frame. Does nothing if the link is closed.
-    void send(mesh::link_id link, const mesh_wire::mesh_frame& frame);
+    /// Queues a frame; a long body follows it in parts, between which other frames are sent. Does
+    /// nothing if the link is closed. A frame that cannot be encoded closes its link.
+    void send(const mesh::send_to_peer& message);
     void close(mesh::link_id link);
     /// Closes the listener and all connections, and reports no further events.
     void close_all();
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 
+#include "libmesh/body_parts.h"
 #include "libshell/http_head.h"
 #include "libshell/metrics.h"
 #include "libsidecar/monotonic_clock.h"
@@ -124,10 +125,25 @@
     settings_watch_.start();
     store_.start();
     arm_timer();
-    io_.run();
+    // A failed handler ends its own connection or call, never the process.
+    for (bool ended = false; !ended;) {
+        try {
+            io_.run();
+            ended = true;
+        } catch (const std::exception& error) {
+            on_handler_failure("connection", error.what());
+        }
+    }
     write_log({log_level::info, "node.stopped", "", {}});
 }
 
+void sidecar::on_handler_failure(const std::string& where, const std::string& reason)
+{
+    ++failed_handlers_;
+    write_log(
+        {log_level::error, "node.handler_failed", "", {{"where", where}, {"reason", reason}}});
+}
+
 http_handlers sidecar::outbound_handlers()
 {
     http_handlers out;
@@ -142,6 +158,9 @@
     out.is_closing = [this] {
         return node_.is_stopping();
     };
+    out.on_failure = [this](const std::string& reason) {
+        on_handler_failure("client", reason);
+    };
     return out;
 }
 
@@ -198,23 +217,33 @@
     while (!events_.empty()) {
         const auto next = std::move(events_.front());
         events_.pop_front();
-        const auto effects = node_.step(next, monotonic_now());
-        for (const auto& effect : effects) {
-            perform(effect);
+        try {
+            for (const auto& effect : node_.step(next, monotonic_now())) {
+                perform(effect);
+            }
+        } catch (const std::exception& error) {
+            on_handler_failure("event", error.what());
         }
     }
     processing_events_ = false;
     if (node_.config() && node_.config() != limits_config_) {
         limits_config_ = node_.config();
         const auto& limits = limits_config_->limits();
-        outbound_.set_limits({limits.header_bytes, limits.body_bytes, limits.idle_timeout});
+        outbound_.set_limits({limits.header_bytes,
+                              std::min(limits.body_bytes, mesh::max_split_body_bytes),
+                              limits.idle_timeout});
     }
     arm_timer();
 }
 
 void sidecar::perform(const mesh::effect& effect)
 {
-    std::visit([this](const auto& alternative) { handle(alternative); }, effect);
+    try {
+        std::visit([this](const auto& alternative) { handle(alternative); }, effect);
+    } catch (const std::exception& error) {
+        // The other effects of the event do not depend on this one.
+        on_handler_failure("effect", error.what());
+    }
 }
 
 void sidecar::arm_timer()
@@ -481,6 +510,9 @@
     line("camphor_peer_bytes_received_total",
          static_cast<double>(peers_.counters().bytes_received));
     line("camphor_peer_bytes_waiting", static_cast<double>(peers_.queued_bytes()));
+    line("camphor_peer_oversized_frames_total",
+         static_cast<double>(peers_.counters().oversized_frames));
+    line("camphor_failed_handlers_total", static_cast<double>(failed_handlers_));
     line("camphor_peer_frames_refused_total",
          static_cast<double>(peers_.counters().invalid_frames));
     line("camphor_store_calls_total", static_cast<double>(store_.counters().calls));
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -65,6 +65,8 @@
     bool is_drained() const;
     void exit_now();
     void write_log(const mesh::log_line& line);
+    /// Logs and counts an exception of a handler.
+    void on_handler_failure(const std::string& where, const std::string& reason);
     std::string render_metrics() const;
 
     void handle(const mesh::deliver_answer& effect);
@@ -72,7 +74,7 @@
     void handle(const mesh::send_to_backend& effect) { app_.send(effect); }
     void handle(const mesh::abort_run& effect) { app_.cancel(effect.run); }
     void handle(const mesh::dial_peer& effect) { peers_.dial(effect.peer); }
-    void handle(const mesh::send_to_peer& effect) { peers_.send(effect.link, effect.frame); }
+    void handle(const mesh::send_to_peer& effect) { peers_.send(effect); }
     void handle(const mesh::close_link& effect) { peers_.close(effect.link); }
     void handle(const mesh::set_store_reading& effect) { store_.set_following(effect.follow); }
     void handle(const mesh::apply_rows& effect) { store_.decode_rows(effect); }
@@ -109,6 +111,7 @@
     std::unordered_map<std::uint64_t, std::weak_ptr<http_connection>> unacknowledged_check_ins_;
     std::deque<mesh::event> events_;
     bool processing_events_ = false;
+    std::uint64_t failed_handlers_ = 0;
     /// Set while stopping: timer_ then polls for the remaining client connections.
     bool closing_connections_ = false;
     /// When timer_ fires; zero if it is not set.
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -3514,6 +3514,322 @@
 }
 
 
+split_message::~split_message() noexcept {
+}
+
+
+void split_message::__set_body_id(const int64_t val) {
+  this->body_id = val;
+}
+
+void split_message::__set_length(const int64_t val) {
+  this->length = val;
+}
+
+void split_message::__set_run(const run_request& val) {
+  this->run = val;
+__isset.run = true;
+}
+
+void split_message::__set_answer(const run_answer& val) {
+  this->answer = val;
+__isset.answer = true;
+}
+std::ostream& operator<<(std::ostream& out, const split_message& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t split_message::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->body_id);
+          this->__isset.body_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->length);
+          this->__isset.length = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t split_message::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("split_message");
+
+  xfer += oprot->writeFieldBegin("body_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->body_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->length);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.run) {
+    xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->run.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(split_message &a, split_message &b) {
+  using ::std::swap;
+  swap(a.body_id, b.body_id);
+  swap(a.length, b.length);
+  swap(a.run, b.run);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+split_message::split_message(const split_message& other105) {
+  body_id = other105.body_id;
+  length = other105.length;
+  run = other105.run;
+  answer = other105.answer;
+  __isset = other105.__isset;
+}
+split_message::split_message(split_message&& other106) noexcept {
+  body_id = other106.body_id;
+  length = other106.length;
+  run = std::move(other106.run);
+  answer = std::move(other106.answer);
+  __isset = other106.__isset;
+}
+split_message& split_message::operator=(const split_message& other107) {
+  body_id = other107.body_id;
+  length = other107.length;
+  run = other107.run;
+  answer = other107.answer;
+  __isset = other107.__isset;
+  return *this;
+}
+split_message& split_message::operator=(split_message&& other108) noexcept {
+  body_id = other108.body_id;
+  length = other108.length;
+  run = std::move(other108.run);
+  answer = std::move(other108.answer);
+  __isset = other108.__isset;
+  return *this;
+}
+void split_message::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "split_message(";
+  out << "body_id=" << to_string(body_id);
+  out << ", " << "length=" << to_string(length);
+  out << ", " << "run="; (__isset.run ? (out << to_string(run)) : (out << "<null>"));
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ")";
+}
+
+
+body_part::~body_part() noexcept {
+}
+
+
+void body_part::__set_body_id(const int64_t val) {
+  this->body_id = val;
+}
+
+void body_part::__set_data(const std::string& val) {
+  this->data = val;
+}
+
+void body_part::__set_dropped(const bool val) {
+  this->dropped = val;
+}
+std::ostream& operator<<(std::ostream& out, const body_part& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t body_part::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->body_id);
+          this->__isset.body_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->dropped);
+          this->__isset.dropped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t body_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("body_part");
+
+  xfer += oprot->writeFieldBegin("body_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->body_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dropped", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->dropped);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(body_part &a, body_part &b) {
+  using ::std::swap;
+  swap(a.body_id, b.body_id);
+  swap(a.data, b.data);
+  swap(a.dropped, b.dropped);
+  swap(a.__isset, b.__isset);
+}
+
+body_part::body_part(const body_part& other109) {
+  body_id = other109.body_id;
+  data = other109.data;
+  dropped = other109.dropped;
+  __isset = other109.__isset;
+}
+body_part::body_part(body_part&& other110) noexcept {
+  body_id = other110.body_id;
+  data = std::move(other110.data);
+  dropped = other110.dropped;
+  __isset = other110.__isset;
+}
+body_part& body_part::operator=(const body_part& other111) {
+  body_id = other111.body_id;
+  data = other111.data;
+  dropped = other111.dropped;
+  __isset = other111.__isset;
+  return *this;
+}
+body_part& body_part::operator=(body_part&& other112) noexcept {
+  body_id = other112.body_id;
+  data = std::move(other112.data);
+  dropped = other112.dropped;
+  __isset = other112.__isset;
+  return *this;
+}
+void body_part::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "body_part(";
+  out << "body_id=" << to_string(body_id);
+  out << ", " << "data=" << to_string(data);
+  out << ", " << "dropped=" << to_string(dropped);
+  out << ")";
+}
+
+
 mesh_frame::~mesh_frame() noexcept {
 }
 
@@ -3577,6 +3893,16 @@
   this->departed = val;
 __isset.departed = true;
 }
+
+void mesh_frame::__set_split(const split_message& val) {
+  this->split = val;
+__isset.split = true;
+}
+
+void mesh_frame::__set_part(const body_part& val) {
+  this->part = val;
+__isset.part = true;
+}
 std::ostream& operator<<(std::ostream& out, const mesh_frame& obj)
 {
   obj.printTo(out);
@@ -3697,14 +4023,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->departed.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->departed.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->departed[_i109].read(iprot);
+              xfer += this->departed[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3713,6 +4039,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->split.read(iprot);
+          this->__isset.split = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->part.read(iprot);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3789,15 +4131,25 @@
     xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-      std::vector<departed_backend> ::const_iterator _iter110;
-      for (_iter110 = this->departed.begin(); _iter110 != this->departed.end(); ++_iter110)
+      std::vector<departed_backend> ::const_iterator _iter118;
+      for (_iter118 = this->departed.begin(); _iter118 != this->departed.end(); ++_iter118)
       {
-        xfer += (*_iter110).write(oprot);
+        xfer += (*_iter118).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.split) {
+    xfer += oprot->writeFieldBegin("split", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->split.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.part) {
+    xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->part.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3817,69 +4169,79 @@
   swap(a.crashes, b.crashes);
   swap(a.load, b.load);
   swap(a.departed, b.departed);
+  swap(a.split, b.split);
+  swap(a.part, b.part);
   swap(a.__isset, b.__isset);
 }
 
-mesh_frame::mesh_frame(const mesh_frame& other111) {
-  state = other111.state;
-  run = other111.run;
-  answer = other111.answer;
-  cancel = other111.cancel;
-  rows = other111.rows;
-  pull = other111.pull;
-  report = other111.report;
-  share = other111.share;
-  ping = other111.ping;
-  crashes = other111.crashes;
-  load = other111.load;
-  departed = other111.departed;
-  __isset = other111.__isset;
-}
-mesh_frame::mesh_frame(mesh_frame&& other112) noexcept {
-  state = std::move(other112.state);
-  run = std::move(other112.run);
-  answer = std::move(other112.answer);
-  cancel = std::move(other112.cancel);
-  rows = std::move(other112.rows);
-  pull = std::move(other112.pull);
-  report = std::move(other112.report);
-  share = std::move(other112.share);
-  ping = other112.ping;
-  crashes = std::move(other112.crashes);
-  load = std::move(other112.load);
-  departed = std::move(other112.departed);
-  __isset = other112.__isset;
-}
-mesh_frame& mesh_frame::operator=(const mesh_frame& other113) {
-  state = other113.state;
-  run = other113.run;
-  answer = other113.answer;
-  cancel = other113.cancel;
-  rows = other113.rows;
-  pull = other113.pull;
-  report = other113.report;
-  share = other113.share;
-  ping = other113.ping;
-  crashes = other113.crashes;
-  load = other113.load;
-  departed = other113.departed;
-  __isset = other113.__isset;
+mesh_frame::mesh_frame(const mesh_frame& other119) {
+  state = other119.state;
+  run = other119.run;
+  answer = other119.answer;
+  cancel = other119.cancel;
+  rows = other119.rows;
+  pull = other119.pull;
+  report = other119.report;
+  share = other119.share;
+  ping = other119.ping;
+  crashes = other119.crashes;
+  load = other119.load;
+  departed = other119.departed;
+  split = other119.split;
+  part = other119.part;
+  __isset = other119.__isset;
+}
+mesh_frame::mesh_frame(mesh_frame&& other120) noexcept {
+  state = std::move(other120.state);
+  run = std::move(other120.run);
+  answer = std::move(other120.answer);
+  cancel = std::move(other120.cancel);
+  rows = std::move(other120.rows);
+  pull = std::move(other120.pull);
+  report = std::move(other120.report);
+  share = std::move(other120.share);
+  ping = other120.ping;
+  crashes = std::move(other120.crashes);
+  load = std::move(other120.load);
+  departed = std::move(other120.departed);
+  split = std::move(other120.split);
+  part = std::move(other120.part);
+  __isset = other120.__isset;
+}
+mesh_frame& mesh_frame::operator=(const mesh_frame& other121) {
+  state = other121.state;
+  run = other121.run;
+  answer = other121.answer;
+  cancel = other121.cancel;
+  rows = other121.rows;
+  pull = other121.pull;
+  report = other121.report;
+  share = other121.share;
+  ping = other121.ping;
+  crashes = other121.crashes;
+  load = other121.load;
+  departed = other121.departed;
+  split = other121.split;
+  part = other121.part;
+  __isset = other121.__isset;
   return *this;
 }
-mesh_frame& mesh_frame::operator=(mesh_frame&& other114) noexcept {
-  state = std::move(other114.state);
-  run = std::move(other114.run);
-  answer = std::move(other114.answer);
-  cancel = std::move(other114.cancel);
-  rows = std::move(other114.rows);
-  pull = std::move(other114.pull);
-  report = std::move(other114.report);
-  share = std::move(other114.share);
-  ping = other114.ping;
-  crashes = std::move(other114.crashes);
-  load = std::move(other114.load);
-  departed = std::move(other114.departed);
-  __isset = other114.__isset;
+mesh_frame& mesh_frame::operator=(mesh_frame&& other122) noexcept {
+  state = std::move(other122.state);
+  run = std::move(other122.run);
+  answer = std::move(other122.answer);
+  cancel = std::move(other122.cancel);
+  rows = std::move(other122.rows);
+  pull = std::move(other122.pull);
+  report = std::move(other122.report);
+  share = std::move(other122.share);
+  ping = other122.ping;
+  crashes = std::move(other122.crashes);
+  load = std::move(other122.load);
+  departed = std::move(other122.departed);
+  split = std::move(other122.split);
+  part = std::move(other122.part);
+  __isset = other122.__isset;
   return *this;
 }
 void mesh_frame::printTo(std::ostream& out) const {
@@ -3897,6 +4259,8 @@
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ", " << "departed="; (__isset.departed ? (out << to_string(departed)) : (out << "<null>"));
+  out << ", " << "split="; (__isset.split ? (out << to_string(split)) : (out << "<null>"));
+  out << ", " << "part="; (__isset.part ? (out << to_string(part)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -70,6 +70,10 @@
 
 class departed_backend;
 
+class split_message;
+
+class body_part;
+
 class mesh_frame;
 
 typedef struct _owner_load__isset {
@@ -1348,8 +1352,135 @@
 
 std::ostream& operator<<(std::ostream& out, const departed_backend& obj);
 
+typedef struct _split_message__isset {
+  _split_message__isset() : body_id(false), length(false), run(false), answer(false) {}
+  bool body_id :1;
+  bool length :1;
+  bool run :1;
+  bool answer :1;
+} _split_message__isset;
+
+class split_message : public virtual ::apache::thrift::TBase {
+ public:
+
+  split_message(const split_message&);
+  split_message(split_message&&) noexcept;
+  split_message& operator=(const split_message&);
+  split_message& operator=(split_message&&) noexcept;
+  split_message() noexcept
+                : body_id(0),
+                  length(0) {
+  }
+
+  virtual ~split_message() noexcept;
+  int64_t body_id;
+  int64_t length;
+  run_request run;
+  run_answer answer;
+
+  _split_message__isset __isset;
+
+  void __set_body_id(const int64_t val);
+
+  void __set_length(const int64_t val);
+
+  void __set_run(const run_request& val);
+
+  void __set_answer(const run_answer& val);
+
+  bool operator == (const split_message & rhs) const
+  {
+    if (!(body_id == rhs.body_id))
+      return false;
+    if (!(length == rhs.length))
+      return false;
+    if (__isset.run != rhs.__isset.run)
+      return false;
+    else if (__isset.run && !(run == rhs.run))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const split_message &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const split_message & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(split_message &a, split_message &b);
+
+std::ostream& operator<<(std::ostream& out, const split_message& obj);
+
+typedef struct _body_part__isset {
+  _body_part__isset() : body_id(false), data(false), dropped(false) {}
+  bool body_id :1;
+  bool data :1;
+  bool dropped :1;
+} _body_part__isset;
+
+class body_part : public virtual ::apache::thrift::TBase {
+ public:
+
+  body_part(const body_part&);
+  body_part(body_part&&) noexcept;
+  body_part& operator=(const body_part&);
+  body_part& operator=(body_part&&) noexcept;
+  body_part() noexcept
+            : body_id(0),
+              data(),
+              dropped(0) {
+  }
+
+  virtual ~body_part() noexcept;
+  int64_t body_id;
+  std::string data;
+  bool dropped;
+
+  _body_part__isset __isset;
+
+  void __set_body_id(const int64_t val);
+
+  void __set_data(const std::string& val);
+
+  void __set_dropped(const bool val);
+
+  bool operator == (const body_part & rhs) const
+  {
+    if (!(body_id == rhs.body_id))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    if (!(dropped == rhs.dropped))
+      return false;
+    return true;
+  }
+  bool operator != (const body_part &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const body_part & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(body_part &a, body_part &b);
+
+std::ostream& operator<<(std::ostream& out, const body_part& obj);
+
 typedef struct _mesh_frame__isset {
-  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false), crashes(false), load(false), departed(false) {}
+  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false), crashes(false), load(false), departed(false), split(false), part(false) {}
   bool state :1;
   bool run :1;
   bool answer :1;
@@ -1362,6 +1493,8 @@
   bool crashes :1;
   bool load :1;
   bool departed :1;
+  bool split :1;
+  bool part :1;
 } _mesh_frame__isset;
 
 class mesh_frame : public virtual ::apache::thrift::TBase {
@@ -1388,6 +1521,8 @@
   crash_report crashes;
   owner_load load;
   std::vector<departed_backend>  departed;
+  split_message split;
+  body_part part;
 
   _mesh_frame__isset __isset;
 
@@ -1415,6 +1550,10 @@
 
   void __set_departed(const std::vector<departed_backend> & val);
 
+  void __set_split(const split_message& val);
+
+  void __set_part(const body_part& val);
+
   bool operator == (const mesh_frame & rhs) const
   {
     if (__isset.state != rhs.__isset.state)
@@ -1465,6 +1604,14 @@
       return false;
     else if (__isset.departed && !(departed == rhs.departed))
       return false;
+    if (__isset.split != rhs.__isset.split)
+      return false;
+    else if (__isset.split && !(split == rhs.split))
+      return false;
+    if (__isset.part != rhs.__isset.part)
+      return false;
+    else if (__isset.part && !(part == rhs.part))
+      return false;
     return true;
   }
   bool operator != (const mesh_frame &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -203,6 +203,25 @@
   3: i64 age_ms
 }
 
+// A run request or an answer whose body follows in parts. A separate message, so that a node which does
+// not know it cannot take the request for one without a body.
+struct split_message {
+  // Names the body on this connection and in this direction.
+  1: i64 body_id
+  // Length of the whole body in bytes.
+  2: i64 length
+  3: optional run_request run
+  4: optional run_answer answer
+}
+
+// The next bytes of a body.
+struct body_part {
+  1: i64 body_id
+  2: binary data
+  // The rest of the body is not sent, since the request was cancelled.
+  3: bool dropped
+}
+
 struct mesh_frame {
   1: optional node_state state
   2: optional run_request run
@@ -217,4 +236,6 @@
   // Sent when the owner's backend server gets its first free slot or has no more.
   12: optional owner_load load
   13: optional list<departed_backend> departed
+  14: optional split_message split
+  15: optional body_part part
 }
