Limit the requests to cold backend servers; evacuate zones

Change: the owner's queue starts at most the configured number of requests in any second while its backend server is cold; nodes send nothing into an evacuated zone, and the owner refuses what still arrives. A row that is missing in a read of the whole table counts as removed.

--- a/src/libmesh/mesh_config.h
+++ b/src/libmesh/mesh_config.h
@@ -49,6 +49,9 @@
     /// Maximum number of connections that a backend server of the service accepts, over all
     /// callers.
     int max_connections = 0;
+    /// Requests per second that a backend server bears while it is cold, over all nodes; 0: no
+    /// limit.
+    double cold_per_second = 0;
 };
 
 /// Limits on the size and duration of a client's request.
--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -202,6 +202,15 @@
     std::vector<mesh_wire::operator_row> rows;
     std::int64_t read_up_to = 0;
     bool fresh = false;
+    /// `rows` are all rows of the table: rows that are not among them no longer exist.
+    bool whole_table = false;
+};
+
+/// An order to send nothing to the backend servers of a zone, or its end.
+struct evacuation_read {
+    zone_id zone;
+    bool active = false;
+    std::int64_t row_version = 0;
 };
 
 /// Quarantined requests that were read from the store.
@@ -238,8 +247,8 @@
                  backend_request_failed, backend_checked_in, backend_deregistered, departures_read,
                  departures_stored, link_opened, link_closed, frame_arrived, config_read,
                  rollout_order_read, rollout_status_read, rollout_status_written, nodes_listed,
-                 rows_read, crashes_read, crashes_written, timer_tick, machine_resumed,
-                 shutdown_requested, exit_imminent, bounds_changed>;
+                 evacuation_read, rows_read, crashes_read, crashes_written, timer_tick,
+                 machine_resumed, shutdown_requested, exit_imminent, bounds_changed>;
 
 // Effects.
 
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -114,6 +114,7 @@
     const auto before = config_ ? config_->version().value() : 0;
     config_ = input.config;
     config_applied_at_ = now_;
+    limit_cold_start();
     log(log_level::info, "config.applied", "",
         {{"version", std::to_string(config_->version().value())},
          {"before", std::to_string(before)},
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -211,6 +211,7 @@
     void handle(const frame_arrived& input);
     void handle(const config_read& input);
     void handle(const rollout_order_read& input);
+    void handle(const evacuation_read& input);
     void handle(const rollout_status_read& input);
     void handle(const rollout_status_written& input);
     void handle(const nodes_listed& input);
@@ -278,6 +279,9 @@
     double cross_zone_cost(const call_state& call) const;
     void update_mean_answer_size(const call_state& call, const answer& content);
 
+    /// Whether nothing may be sent to the backend servers of the zone.
+    bool is_evacuated(const zone_id& zone) const;
+
     // node_owner.cpp: runs on the local backend server.
     void offer_run(const run_origin& origin, const mesh_wire::run_request& run_frame,
                    request_ptr content);
@@ -293,6 +297,10 @@
     void log_broken_run(const run_state& run, const std::string& reason);
     void record_release_result(const run_state& run, run_verdict verdict);
     void retire_backend(backend_state state, const std::string& reason);
+    /// Limits the requests to the local backend server while it is cold.
+    void limit_cold_start();
+    /// Requests per second that a cold backend server of the service bears; 0: no limit.
+    double cold_rate(const service_id& service) const;
     mesh_wire::owner_load current_load(const route_id& route_name) const;
     bool has_free_slot() const;
     /// Tells some nodes of the own zone when the first slot becomes free and when the last one is
@@ -363,6 +371,9 @@
     bool is_read_overdue() const;
     void detect_late_reads();
     void push_rows(const std::vector<mesh_wire::operator_row>& rows);
+    /// Marks the known rows that a read of the whole table lacks as removed and returns them: their
+    /// removal was not seen, since the store no longer held its history.
+    std::vector<mesh_wire::operator_row> remove_missing_rows(const rows_read& input);
     /// Sends the rows to a few of the nodes, each of which relays them to a part of the rest. The
     /// number of copies that one node sends is limited, since requests queue behind them on its
     /// connection to the network.
@@ -464,6 +475,8 @@
     time_point own_attempted_at_{};
 
     directory peers_;
+    /// Latest known order about each zone that was evacuated.
+    std::map<zone_id, evacuation_read> evacuations_;
     /// Zones found by detect_silent_zones().
     std::set<zone_id> silent_zones_;
     std::map<link_id, link_state> links_;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -52,6 +52,16 @@
 constexpr duration min_probe_interval = 2s;
 constexpr duration max_probe_interval = 30s;
 
+/// Number of requests that a cold backend server can run at a time within its limit.
+int cold_slots(const candidate& option, double per_second)
+{
+    if (per_second <= 0) {
+        return option.slots;
+    }
+    const auto at_a_time = per_second * std::chrono::duration<double>(option.mean_hold).count();
+    return std::clamp(static_cast<int>(at_a_time), 1, option.slots);
+}
+
 std::string outcome_name(mesh_wire::run_outcome::type outcome)
 {
     switch (outcome) {
@@ -206,7 +216,8 @@
 {
     std::vector<candidate> options;
     const auto own_hold = queue_.hold(call.route_config->name, queue_.mean_hold());
-    if (own_backend_ && lends_backend(own_hold) && can_serve(*own_backend_, call)) {
+    if (own_backend_ && lends_backend(own_hold) && can_serve(*own_backend_, call) &&
+        !is_evacuated(settings_.zone)) {
         candidate option;
         option.node = settings_.node;
         option.backend = own_backend_->id;
@@ -225,7 +236,7 @@
     }
     for (const auto& [name, remote] : peers_.all()) {
         if (!remote.link || !remote.app || is_unresponsive(remote) ||
-            !can_serve(*remote.app, call)) {
+            !can_serve(*remote.app, call) || is_evacuated(zone_id{remote.record.zone})) {
             continue;
         }
         candidate option;
@@ -246,6 +257,7 @@
         option.hold_is_measured = remote.load.holds.has_values_of(call.route_config->name);
         if (remote.app->cold_until > now_) {
             option.mean_hold *= 2;
+            option.slots = cold_slots(option, cold_rate(call.service));
         }
         if (remote.stopping && !usually_ends_by(option.mean_hold, remote.lends_until)) {
             continue;
--- a/src/libmesh/node_check_ins.cpp
+++ b/src/libmesh/node_check_ins.cpp
@@ -116,9 +116,11 @@
         return;
     }
     const bool is_changed = is_new_start || own_backend_->state != backend_state::ready ||
-                            own_backend_->slots != reported.slots;
+                            own_backend_->slots != reported.slots ||
+                            (own_backend_->cold_until > now_) != (reported.cold_until > now_);
     own_backend_ = reported;
     queue_.set_slots(input.slots);
+    limit_cold_start();
     if (input.draining) {
         retire_backend(backend_state::draining, "it is draining");
     } else if (is_changed) {
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -59,8 +59,8 @@
     run.offered_at = now_;
     const bool stopping =
         origin.link && !lends_backend(queue_.hold(run.route_name, queue_.mean_hold()));
-    const bool usable =
-        own_backend_ && own_backend_->id == run.backend && own_backend_->accepts_requests();
+    const bool usable = own_backend_ && own_backend_->id == run.backend &&
+                        own_backend_->accepts_requests() && !is_evacuated(settings_.zone);
     slot_request slot;
     slot.run = id;
     slot.route = run.route_name;
@@ -382,6 +382,51 @@
     runs_.erase(found);
 }
 
+double node::cold_rate(const service_id& service) const
+{
+    const auto* found = config_ ? config_->find_service(service) : nullptr;
+    return found == nullptr ? 0 : found->cold_per_second;
+}
+
+void node::limit_cold_start()
+{
+    if (own_backend_) {
+        queue_.set_cold(own_backend_->cold_until, cold_rate(own_backend_->service));
+    }
+}
+
+bool node::is_evacuated(const zone_id& zone) const
+{
+    const auto found = evacuations_.find(zone);
+    return found != evacuations_.end() && found->second.active;
+}
+
+void node::handle(const evacuation_read& input)
+{
+    auto& known = evacuations_[input.zone];
+    if (input.row_version <= known.row_version) {
+        return;
+    }
+    const bool changed = known.active != input.active;
+    known = input;
+    if (!changed) {
+        return;
+    }
+    log(log_level::info, input.active ? "zone.evacuated" : "zone.taken_back", "",
+        {{"of", input.zone.value()}, {"version", std::to_string(input.row_version)}});
+    if (input.zone != settings_.zone || !own_backend_) {
+        return;
+    }
+    if (input.active) {
+        refuse_queued_runs("evacuated");
+        return;
+    }
+    // It stood idle and may have become cold since its last check-in.
+    own_backend_->cold_until = std::max<time_point>(own_backend_->cold_until,
+                                                    now_ + settings_.bounds.heartbeat_interval * 2);
+    limit_cold_start();
+}
+
 void node::retire_backend(backend_state state, const std::string& reason)
 {
     const bool leaving = own_backend_ && (own_backend_->state == backend_state::draining ||
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -636,8 +636,10 @@
     const bool is_status_changed =
         store_fresh_ != (input.fresh && reads_store_) || was_late != reads_late_;
     store_fresh_ = input.fresh && reads_store_;
-    read_up_to_ = std::max(read_up_to_, input.read_up_to);
     std::vector<mesh_wire::operator_row> changed_rows;
+    if (input.whole_table && input.read_up_to >= read_up_to_) {
+        changed_rows = remove_missing_rows(input);
+    }
     for (const auto& row : input.rows) {
         auto& known_row = rows_[row.key];
         if (row.row_version > known_row.row_version) {
@@ -645,6 +647,7 @@
             known_row = row;
         }
     }
+    read_up_to_ = std::max(read_up_to_, input.read_up_to);
     const bool has_changes = !changed_rows.empty();
     if (!is_sole_reader) {
         std::erase_if(changed_rows,
@@ -657,6 +660,32 @@
     }
 }
 
+std::vector<mesh_wire::operator_row> node::remove_missing_rows(const rows_read& input)
+{
+    std::set<std::string> present;
+    for (const auto& row : input.rows) {
+        present.insert(row.key);
+    }
+    apply_rows removed;
+    for (auto& [key, row] : rows_) {
+        if (row.row_version == 0 || row.removed || present.contains(key)) {
+            continue;
+        }
+        mesh_wire::operator_row tombstone;
+        tombstone.__set_key(key);
+        tombstone.__set_row_version(input.read_up_to);
+        tombstone.__set_removed(true);
+        row = tombstone;
+        removed.rows.push_back(std::move(tombstone));
+    }
+    auto result = removed.rows;
+    if (!result.empty()) {
+        removed.read_up_to = input.read_up_to;
+        effects_.emplace_back(std::move(removed));
+    }
+    return result;
+}
+
 void node::on_rows_push(link_id, const mesh_wire::rows_push& frame)
 {
     std::vector<node_id> relay_targets;
--- a/src/libmesh/slot_queue.cpp
+++ b/src/libmesh/slot_queue.cpp
@@ -2,6 +2,7 @@
 #include "libmesh/slot_queue.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace camphor::mesh {
 
@@ -15,11 +16,44 @@
 /// one that is not served.
 constexpr duration max_probe_gap = std::chrono::seconds(1);
 constexpr int max_doublings = 4;
+/// Span in which the requests of a cold backend server are counted.
+constexpr duration cold_window = std::chrono::seconds(1);
 
 } // namespace
 
+void slot_queue::set_cold(time_point until, double per_second)
+{
+    cold_until_ = until;
+    max_cold_starts_ =
+        per_second > 0 ? std::max<std::size_t>(1, static_cast<std::size_t>(per_second)) : 0;
+}
+
+std::size_t slot_queue::recent_starts(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(cold_starts_.begin(), cold_starts_.end(),
+                      [now](time_point start) { return now - start < cold_window; }));
+}
+
+duration slot_queue::cold_wait(std::size_t before, time_point now) const
+{
+    if (!is_cold(now)) {
+        return {};
+    }
+    const auto due = recent_starts(now) + before + 1;
+    if (due <= max_cold_starts_) {
+        return {};
+    }
+    const auto over = static_cast<duration::rep>(due - max_cold_starts_);
+    return std::min<duration>(cold_window * over / static_cast<duration::rep>(max_cold_starts_),
+                              cold_until_ - now);
+}
+
 int slot_queue::free_slots(time_point now) const
 {
+    if (is_cold(now) && recent_starts(now) >= max_cold_starts_) {
+        return 0;
+    }
     return needs_probe(now) ? 1 : slots_ - running() - untracked_running_;
 }
 
@@ -42,15 +76,23 @@
         probe_ = request.run;
     }
     running_.emplace(request.run, running_request{request.route, now});
+    while (!cold_starts_.empty() && now - cold_starts_.front() >= cold_window) {
+        cold_starts_.pop_front();
+    }
+    if (is_cold(now)) {
+        cold_starts_.push_back(now);
+    }
 }
 
-duration slot_queue::expected_wait(std::map<waiting_key, slot_request>::const_iterator last) const
+duration slot_queue::expected_wait(std::map<waiting_key, slot_request>::const_iterator last,
+                                   time_point now) const
 {
     auto work = mean_hold();
     for (auto entry = waiting_.begin(); entry != last; ++entry) {
         work += hold(entry->second.route, mean_hold());
     }
-    return work / std::max(slots_, 1);
+    const auto before = static_cast<std::size_t>(std::distance(waiting_.begin(), last));
+    return std::max(work / std::max(slots_, 1), cold_wait(before, now));
 }
 
 slot_queue::waiting_key slot_queue::make_key(const slot_request& request, time_point now) const
@@ -76,7 +118,7 @@
 slot_queue::decision slot_queue::wait_or_refuse(const slot_request& request, time_point now) const
 {
     const auto key = make_key(request, now);
-    const auto wait = expected_wait(waiting_.upper_bound(key));
+    const auto wait = expected_wait(waiting_.upper_bound(key), now);
     if (slots_ == 0 || !request.may_wait) {
         return {admission::refuse, wait};
     }
--- a/src/libmesh/slot_queue.h
+++ b/src/libmesh/slot_queue.h
@@ -1,13 +1,15 @@
 // Admission queue in front of one backend server. Every request for the backend server passes
 // through the node beside it, so the slots in use are counted, not estimated. Designed for steep
 // bursts, sustained overload, requests of different priority, clients that disconnect while their
-// request is queued, and a backend server that goes on with requests which were given up.
+// request is queued, a backend server that goes on with requests which were given up, and one that
+// is cold and would crash under its usual load.
 #pragma once
 
 #include "libmesh/hold_time.h"
 #include "libmesh/messages.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -55,6 +57,9 @@
         failed_probes_ = untracked_running_ < slots_ ? 0 : failed_probes_;
     }
 
+    /// Until `until` the backend server is cold: it gets at most `per_second` requests in any
+    /// second; 0: no limit.
+    void set_cold(time_point until, double per_second);
     /// Admits, queues or refuses the request.
     decision offer(const slot_request& request, time_point now);
     /// Removes a running or waiting request. When it was `answered`, the time for which it held its
@@ -106,12 +111,19 @@
     static constexpr duration initial_mean_hold = std::chrono::milliseconds(100);
 
     int free_slots(time_point now) const;
+    bool is_cold(time_point now) const { return now < cold_until_ && max_cold_starts_ > 0; }
+    /// Requests that were started within the last second.
+    std::size_t recent_starts(time_point now) const;
+    /// Time until the limit of a cold backend server lets the request start that waits behind
+    /// `before` others.
+    duration cold_wait(std::size_t before, time_point now) const;
     /// True when the reported untracked requests take all slots, but should have ended since.
     bool needs_probe(time_point now) const;
     void run_request(const slot_request& request, time_point now);
     /// Expected time until a slot is free for a request that is queued behind the entries before
     /// `last`, assuming that no slot is free now.
-    duration expected_wait(std::map<waiting_key, slot_request>::const_iterator last) const;
+    duration expected_wait(std::map<waiting_key, slot_request>::const_iterator last,
+                           time_point now) const;
     waiting_key make_key(const slot_request& request, time_point now) const;
     /// Decides on a request that cannot run at once.
     decision wait_or_refuse(const slot_request& request, time_point now) const;
@@ -125,6 +137,12 @@
     std::optional<run_id> probe_;
     /// Number of probes in a row that were not served.
     int failed_probes_ = 0;
+    time_point cold_until_{};
+    /// Requests in any second while the backend server is cold; 0: no limit.
+    std::size_t max_cold_starts_ = 0;
+    /// When requests were started while it was cold, oldest first. Invariant: at most
+    /// max_cold_starts_ of them lie within one second.
+    std::deque<time_point> cold_starts_;
     std::uint64_t arrival_count_ = 0;
     std::map<waiting_key, slot_request> waiting_;
     std::map<run_id, running_request> running_;
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -275,6 +275,12 @@
         feed(this_host, rows_read{{row}, row.row_version, true});
     }
 
+    /// The node learns of an order to evacuate a zone, or of its end.
+    void feed_evacuation(std::size_t i, const evacuation_read& order)
+    {
+        feed(*hosts_.at(i), order);
+    }
+
     /// The operators write a row, which the nodes that read the store receive. A row with the key
     /// "config" stands for a configuration of that version.
     void write_row(const mesh_wire::operator_row& row)
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -373,6 +373,7 @@
         read_up_to_ = std::max(read_up_to_, answer.store_version);
         event.read_up_to = read_up_to_;
         event.fresh = true;
+        event.whole_table = whole_table;
         feed_answered_at_ = clock::now();
         update_contact(true, reply);
         if (!event.rows.empty()) {
@@ -396,16 +397,17 @@
 
 bool store_follower::decode_row(const mesh_wire::operator_row& row)
 {
-    if (row.removed) {
-        return false;
-    }
     try {
-        auto document = platform::read_operator_row(row.key, row.document, row.row_version);
+        auto document = row.removed
+                            ? platform::read_removed_row(row.key, row.row_version)
+                            : platform::read_operator_row(row.key, row.document, row.row_version);
         if (auto* config = std::get_if<mesh::config_read>(&document)) {
             on_event_(std::move(*config));
         } else if (auto* rollout_order = std::get_if<mesh::rollout_order_read>(&document)) {
             on_event_(std::move(*rollout_order));
             return true;
+        } else if (auto* evacuation = std::get_if<mesh::evacuation_read>(&document)) {
+            on_event_(std::move(*evacuation));
         }
     } catch (const platform::bad_row& error) {
         log(log_level::error, "store.bad_row", {{"key", row.key}, {"reason", error.what()}});
