Authenticate organisations by their keys

Change: the configuration holds a directory of organisations; a request without a known key gets 401 unless its route is public. The organisation's name goes with the run, the key nowhere; logs show a fingerprint. Tests: organisations_test (keys known, unknown, moved, taken away, public routes, refused directories).

--- a/src/libmesh/mesh_config.cpp
+++ b/src/libmesh/mesh_config.cpp
@@ -7,8 +7,10 @@
 namespace camphor::mesh {
 
 mesh_config::mesh_config(config_version version, std::vector<route> routes,
-                         std::vector<service_settings> services, client_limits limits)
-    : version_(version), routes_(std::move(routes)), limits_(limits)
+                         std::vector<service_settings> services, client_limits limits,
+                         organisation_directory organisations)
+    : version_(version), routes_(std::move(routes)), limits_(limits),
+      organisations_(std::move(organisations))
 {
     std::sort(routes_.begin(), routes_.end(), [](const route& left, const route& right) {
         return std::make_tuple(std::string_view(left.host), right.prefix.size(),
--- a/src/libmesh/mesh_config.h
+++ b/src/libmesh/mesh_config.h
@@ -1,6 +1,8 @@
 // The configuration of a mesh: routes, services and limits for clients.
 #pragma once
 
+#include "libmesh/organisations.h"
+
 #include <camphortally/ids.h>
 
 #include <chrono>
@@ -39,6 +41,8 @@
     int max_attempts = 1;
     /// Not empty, and at least one weight is above zero.
     std::vector<weighted_service> targets;
+    /// Requests need no key of an organisation.
+    bool is_public = false;
 };
 
 /// Settings of one service.
@@ -66,11 +70,13 @@
 class mesh_config {
 public:
     mesh_config(config_version version, std::vector<route> routes,
-                std::vector<service_settings> services, client_limits limits);
+                std::vector<service_settings> services, client_limits limits,
+                organisation_directory organisations = {});
 
     config_version version() const { return version_; }
     const client_limits& limits() const { return limits_; }
     const std::vector<route>& routes() const { return routes_; }
+    const organisation_directory& organisations() const { return organisations_; }
     /// Null when the configuration does not contain the service.
     const service_settings* find_service(const service_id& name) const;
     /// The route of `host` with the longest prefix that matches `path`; null when none matches. A
@@ -83,6 +89,7 @@
     std::vector<route> routes_;
     std::map<service_id, service_settings> services_;
     client_limits limits_;
+    organisation_directory organisations_;
 };
 
 using mesh_config_ptr = std::shared_ptr<const mesh_config>;
--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -72,6 +72,8 @@
     request_ptr content;
     /// Time that the client is willing to wait; none when it did not say.
     std::optional<milliseconds> patience;
+    /// Key of an organisation; none when the client sent none. Never logged or passed on.
+    std::optional<std::string> key{};
 };
 
 /// The client closed its connection.
@@ -272,6 +274,8 @@
     run_id run;
     request_ptr content;
     std::string caller_service;
+    /// The organisation whose client sent the request; empty when there is none.
+    organisation_id organisation;
     backend_id expected;
     /// An answer after this time is useless; the request is not sent any more then.
     time_point deadline{};
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -106,6 +106,10 @@
         mesh_config_ptr config;
         const route* route_config = nullptr;
         service_id service;
+        /// The organisation whose client sent the call; empty when there is none.
+        organisation_id organisation;
+        /// Priority; 0 is served first.
+        int rank = 0;
         time_point arrived;
         /// Latest time for an answer: the earlier of the client's deadline and the route's
         /// timeout.
@@ -145,6 +149,7 @@
     struct run_state {
         run_origin origin;
         request_ptr content;
+        organisation_id organisation;
         backend_id backend;
         /// Start identifier (`born`) of the backend server process that the run was sent to.
         std::int64_t born = 0;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -11,6 +11,8 @@
 
 using namespace std::chrono_literals;
 
+/// The priority of an organisation goes before that of the route, which is below this.
+constexpr int ranks_per_organisation_priority = 1'001;
 /// Maximum number of refusals before the call waits in an owner's queue.
 constexpr std::size_t max_refusals = 4;
 /// Owners of a zone without a free slot are not asked again for this long. A zone of a few owners
@@ -111,6 +113,15 @@
         refuse_early(404, "no_route");
         return;
     }
+    const auto& organisations = config_->organisations();
+    const auto* sender = input.key ? organisations.find_by_key(*input.key) : nullptr;
+    if (!organisations.empty() && !route_config->is_public && sender == nullptr) {
+        log(log_level::info, "request.unknown_key", content.id,
+            {{"key", input.key ? key_fingerprint(*input.key) : "none"},
+             {"route", route_config->name.value()}});
+        refuse_early(401, "unknown_key");
+        return;
+    }
     const auto fingerprint = fingerprint_of(content, settings_.service);
     if (const auto left = quarantine_time_left(fingerprint)) {
         refuse_early(503, quarantine_reason, *left);
@@ -122,6 +133,11 @@
     call.fingerprint = fingerprint;
     call.config = config_;
     call.route_config = route_config;
+    call.rank = route_config->priority;
+    if (sender != nullptr) {
+        call.organisation = sender->name;
+        call.rank += sender->priority * ranks_per_organisation_priority;
+    }
     call.arrived = now_;
     const auto patience = input.patience.value_or(route_config->timeout);
     call.client_deadline = now_ + patience;
@@ -413,7 +429,8 @@
     run_frame.__set_backend(to.backend.value());
     run_frame.__set_route(call.route_config->name.value());
     run_frame.__set_caller_service(settings_.service.value());
-    run_frame.__set_rank(call.route_config->priority);
+    run_frame.__set_rank(call.rank);
+    run_frame.__set_organisation(call.organisation.value());
     run_frame.__set_may_wait(may_wait);
     run_frame.__set_safe(call.route_config->safe);
     run_frame.__set_repeated(call.backend_sends > 0);
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -50,6 +50,7 @@
     run_state run;
     run.origin = origin;
     run.content = std::move(content);
+    run.organisation = organisation_id{run_frame.organisation};
     run.backend = backend_id{run_frame.backend};
     run.route_name = route_id{run_frame.route};
     run.fingerprint = {static_cast<std::uint64_t>(run_frame.content_print),
@@ -114,6 +115,7 @@
     command.run = id;
     command.content = run.content;
     command.caller_service = run.fingerprint.caller.value();
+    command.organisation = run.organisation;
     command.expected = run.backend;
     command.deadline = run.deadline;
     command.unsafe = !run.safe;
--- a/src/libmesh/test_mesh_net.h
+++ b/src/libmesh/test_mesh_net.h
@@ -119,13 +119,32 @@
         new_route.priority = 1;
         new_route.max_attempts = 2;
         new_route.targets.push_back({service_id{"s"}, 1});
+        route public_route = new_route;
+        public_route.name = route_id{"public"};
+        public_route.prefix = "/public/";
+        public_route.is_public = true;
         config_ = std::make_shared<const mesh_config>(
-            config_version{version}, std::vector<route>{new_route}, std::vector<service_settings>{},
-            client_limits{});
+            config_version{version}, std::vector<route>{new_route, public_route},
+            std::vector<service_settings>{}, client_limits{},
+            organisation_directory(organisations_));
         for (auto& entry : hosts_) {
             feed(*entry, config_read{config_});
         }
     }
+    /// Organisations of the configurations that configure() makes from now on.
+    void set_organisations(std::vector<organisation> organisations)
+    {
+        organisations_ = std::move(organisations);
+    }
+    /// Key that clients send from now on; none: no key.
+    void set_key(std::optional<std::string> key) { key_ = std::move(key); }
+    /// The organisation that was stated to the backend server; none when the request did not reach
+    /// one.
+    std::optional<organisation_id> stated_organisation(const std::string& id) const
+    {
+        const auto found = stated_organisations_.find(id);
+        return found == stated_organisations_.end() ? std::nullopt : std::optional(found->second);
+    }
 
     void check_in(std::size_t i, bool draining = false) { check_in(*hosts_.at(i), draining); }
 
@@ -168,7 +187,7 @@
         content->target = target;
         content->id = id;
         this_host.clients[call] = {id, now_};
-        feed(this_host, client_request{call, content, patience});
+        feed(this_host, client_request{call, content, patience, key_});
     }
 
     void disconnect_client(std::size_t i, const std::string& id)
@@ -558,6 +577,7 @@
             });
             return;
         }
+        stated_organisations_[command.content->id] = command.organisation;
         app.requests_after_leaving += app.leaving ? 1 : 0;
         ++app.running;
         ++app.arrivals;
@@ -892,6 +912,9 @@
     std::priority_queue<scheduled_event> scheduled_events_;
     /// The operators' rows in the store, by key.
     std::map<std::string, mesh_wire::operator_row> store_rows_;
+    std::vector<organisation> organisations_;
+    std::optional<std::string> key_;
+    std::map<std::string, organisation_id> stated_organisations_;
     std::map<std::string, int> run_counts_;
     std::map<std::string, time_point> last_run_times_;
     std::map<std::string, client_result> results_;
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -287,6 +287,9 @@
     shell::add_field(output_, header::time_left, std::to_string(time_left.count()));
     shell::add_field(output_, header::expected_backend, request_.expected.value());
     shell::add_field(output_, header::caller_service, request_.caller_service);
+    if (!request_.organisation.value().empty()) {
+        shell::add_field(output_, header::organisation, request_.organisation.value());
+    }
     if (!content.body.empty() || (content.method != "GET" && content.method != "HEAD")) {
         shell::add_field(output_, "Content-Length", std::to_string(content.body.size()));
     }
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -71,6 +71,13 @@
            is_named(header::expected_backend);
 }
 
+/// The same where the configuration has organisations. The key must not reach a backend server.
+bool is_set_by_node_of_organisations(std::string_view name)
+{
+    return is_set_by_node(name) || shell::is_same_name(name, header::key) ||
+           shell::is_same_name(name, header::organisation);
+}
+
 std::optional<std::chrono::milliseconds> read_time_left(const http::fields& fields)
 {
     const auto text = fields[header::time_left];
@@ -294,12 +301,19 @@
     content->method = std::string(request.method_string());
     content->target = shell::origin_form(request.target());
     content->host = shell::host_name(request[http::field::host]);
-    content->head = shell::end_to_end_fields(request, is_set_by_node);
+    const bool has_organisations = node_.config() && !node_.config()->organisations().empty();
+    content->head = shell::end_to_end_fields(
+        request, has_organisations ? is_set_by_node_of_organisations : is_set_by_node);
     content->id = std::string(request[header::request_id]);
     const auto time_left = read_time_left(request);
     content->body = std::move(request.body());
     connections_by_request_.emplace(request_number, from);
-    post(mesh::client_request{call_id{request_number}, std::move(content), time_left});
+    std::optional<std::string> key;
+    if (has_organisations && request.count(header::key) == 1) {
+        key = std::string(request[header::key]);
+    }
+    post(mesh::client_request{call_id{request_number}, std::move(content), time_left,
+                              std::move(key)});
 }
 
 void sidecar::handle(const mesh::deliver_answer& effect)
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -303,6 +303,10 @@
 void run_request::__set_content_print(const int64_t val) {
   this->content_print = val;
 }
+
+void run_request::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
 std::ostream& operator<<(std::ostream& out, const run_request& obj)
 {
   obj.printTo(out);
@@ -459,6 +463,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -540,6 +552,10 @@
   xfer += oprot->writeI64(this->content_print);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 17);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -563,6 +579,7 @@
   swap(a.safe, b.safe);
   swap(a.repeated, b.repeated);
   swap(a.content_print, b.content_print);
+  swap(a.organisation, b.organisation);
   swap(a.__isset, b.__isset);
 }
 
@@ -583,6 +600,7 @@
   safe = other4.safe;
   repeated = other4.repeated;
   content_print = other4.content_print;
+  organisation = other4.organisation;
   __isset = other4.__isset;
 }
 run_request::run_request(run_request&& other5) noexcept {
@@ -602,6 +620,7 @@
   safe = other5.safe;
   repeated = other5.repeated;
   content_print = other5.content_print;
+  organisation = std::move(other5.organisation);
   __isset = other5.__isset;
 }
 run_request& run_request::operator=(const run_request& other6) {
@@ -621,6 +640,7 @@
   safe = other6.safe;
   repeated = other6.repeated;
   content_print = other6.content_print;
+  organisation = other6.organisation;
   __isset = other6.__isset;
   return *this;
 }
@@ -641,6 +661,7 @@
   safe = other7.safe;
   repeated = other7.repeated;
   content_print = other7.content_print;
+  organisation = std::move(other7.organisation);
   __isset = other7.__isset;
   return *this;
 }
@@ -663,6 +684,7 @@
   out << ", " << "safe=" << to_string(safe);
   out << ", " << "repeated=" << to_string(repeated);
   out << ", " << "content_print=" << to_string(content_print);
+  out << ", " << "organisation=" << to_string(organisation);
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -150,7 +150,7 @@
 std::ostream& operator<<(std::ostream& out, const owner_load& obj);
 
 typedef struct _run_request__isset {
-  _run_request__isset() : call(false), backend(false), route(false), method(false), target(false), head(false), body(false), request_id(false), time_left_ms(false), objective_left_ms(false), caller_service(false), rank(false), may_wait(false), safe(false), repeated(false), content_print(false) {}
+  _run_request__isset() : call(false), backend(false), route(false), method(false), target(false), head(false), body(false), request_id(false), time_left_ms(false), objective_left_ms(false), caller_service(false), rank(false), may_wait(false), safe(false), repeated(false), content_print(false), organisation(false) {}
   bool call :1;
   bool backend :1;
   bool route :1;
@@ -167,6 +167,7 @@
   bool safe :1;
   bool repeated :1;
   bool content_print :1;
+  bool organisation :1;
 } _run_request__isset;
 
 class run_request : public virtual ::apache::thrift::TBase {
@@ -192,7 +193,8 @@
                 may_wait(0),
                 safe(0),
                 repeated(0),
-                content_print(0) {
+                content_print(0),
+                organisation() {
   }
 
   virtual ~run_request() noexcept;
@@ -212,6 +214,7 @@
   bool safe;
   bool repeated;
   int64_t content_print;
+  std::string organisation;
 
   _run_request__isset __isset;
 
@@ -247,6 +250,8 @@
 
   void __set_content_print(const int64_t val);
 
+  void __set_organisation(const std::string& val);
+
   bool operator == (const run_request & rhs) const
   {
     if (!(call == rhs.call))
@@ -281,6 +286,8 @@
       return false;
     if (!(content_print == rhs.content_print))
       return false;
+    if (!(organisation == rhs.organisation))
+      return false;
     return true;
   }
   bool operator != (const run_request &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -39,6 +39,8 @@
   // Hash of the parts of a request that stay the same when a client repeats it; 0 when the sender
   // does not provide it.
   16: i64 content_print
+  // Name of the organisation whose client sent the request; empty when there is none.
+  17: string organisation
 }
 
 enum run_outcome {
