Hold organisations to their allowances over all nodes

Change: nodes report what organisations send to a lender, the first node by name that they hear; it names one fraction for all nodes while an organisation exceeds its allowance. Without grants a node keeps to an equal part. 429 states when the share refills, spread. Ruled out, by figures in docs/design/organisations.md: equal parts, shares by the demand of each node. Tests: allowances_test, without a network: load at 3, 71 and 300 nodes, baselines, six failures.

--- a/src/libmesh/body_parts.cpp
+++ b/src/libmesh/body_parts.cpp
@@ -15,9 +15,11 @@
     split.__set_length(static_cast<std::int64_t>(body->size()));
     if (frame.__isset.run) {
         added.run = frame.run.call;
-        split.__set_run(std::move(frame.run));
+        split.run = std::move(frame.run);
+        split.__isset.run = true;
     } else {
-        split.__set_answer(std::move(frame.answer));
+        split.answer = std::move(frame.answer);
+        split.__isset.answer = true;
     }
     added.content = std::move(body);
     bodies_.push_back(std::move(added));
--- a/src/libmesh/mesh_settings.h
+++ b/src/libmesh/mesh_settings.h
@@ -36,6 +36,8 @@
     /// Fraction of a service's requests that a bad release may get during its roll-out.
     double exposure_share = 0.1;
     milliseconds heartbeat_interval{1500};
+    /// Requests beyond an organisation's allowance that are tolerated in a few seconds.
+    double allowance_tolerance = 0;
 
     bool operator==(const mesh_bounds&) const = default;
 };
--- a/src/libmesh/node.cpp
+++ b/src/libmesh/node.cpp
@@ -43,7 +43,11 @@
 
 effect_list node::step(const event& input, time_point now)
 {
-    const auto gap = now_ == time_point{} ? duration{} : now - now_;
+    const bool is_first = now_ == time_point{};
+    const auto gap = is_first ? duration{} : now - now_;
+    if (is_first) {
+        allowances_ = allowance_gate(now);
+    }
     now_ = std::max(now, now_);
     if (gap > pause_threshold) {
         resume_after_pause(gap);
@@ -165,6 +169,7 @@
     log(log_level::warning, "node.resumed", "",
         {{"paused_ms", format_ms(gap)}, {"in_contact", store_fresh_ ? "true" : "false"}});
     leader_since_ = now_;
+    allowances_.expire();
     if (std::exchange(store_fresh_, false)) {
         broadcast_state();
     }
@@ -208,6 +213,7 @@
     pull_config_if_behind();
     answer_pulls();
     evaluate_rollouts();
+    exchange_allowances();
     update_quarantine();
     sync_quarantine_with_store();
     if (now_ >= next_state_report_) {
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -1,6 +1,7 @@
 // State machine of one mesh node: consumes events and returns effects; does no I/O itself.
 #pragma once
 
+#include "libmesh/allowances.h"
 #include "libmesh/crash_suspects.h"
 #include "libmesh/directory.h"
 #include "libmesh/mesh_config.h"
@@ -316,6 +317,17 @@
     mesh_wire::run_answer make_run_answer(const run_origin& origin, const run_result& result,
                                           const route_id& route_name) const;
 
+    // node_allowances.cpp: allowances of organisations.
+    /// The node to which this one reports what organisations use: the first by name that it hears.
+    node_id allowance_lender() const;
+    /// Reports the usage of organisations to the lender, when it is time.
+    void exchange_allowances();
+    void on_allowance_report(link_id link, const mesh_wire::allowance_report& report);
+    void on_allowance_grants(const mesh_wire::allowance_grants& grants);
+    /// Adds a report to the ledger of this node and returns the shares of the reporting node.
+    std::vector<organisation_share> lend_allowances(const node_id& to,
+                                                    const std::vector<organisation_usage>& usage);
+
     // node_check_ins.cpp: check-ins and departures of the local backend server.
     void accept_check_in(const backend_checked_in& input);
     /// Whether the check-in can be trusted not to be a delayed one of a backend server that left.
@@ -442,6 +454,10 @@
     /// Moving average of the size of each route's answers, in bytes.
     std::map<route_id, double> mean_answer_bytes_;
 
+    allowance_gate allowances_;
+    allowance_ledger allowance_ledger_;
+    time_point last_allowance_report_{};
+
     std::optional<backend> own_backend_;
     std::int64_t last_check_in_sequence_ = 0;
     departures departures_;
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -95,7 +95,7 @@
              {"status", std::to_string(status)},
              {"config_version", std::to_string(config_ ? config_->version().value() : 0)}});
         std::optional<milliseconds> retry_after;
-        if (status == 503) {
+        if (status == 503 || status == 429) {
             retry_after = std::chrono::duration_cast<milliseconds>(wait);
         }
         effects_.emplace_back(deliver_refusal{input.call, status, reason, retry_after});
@@ -149,6 +149,15 @@
         refuse_early(503, "stopping");
         return;
     }
+    if (sender != nullptr) {
+        if (const auto wait =
+                allowances_.refuse(*sender, peers_.all().size() + 1, random_fraction(), now_)) {
+            // Spread, so that the clients of an organisation do not return together.
+            const auto spread = 1 + random_fraction();
+            refuse_early(429, "allowance", std::chrono::duration_cast<duration>(*wait * spread));
+            return;
+        }
+    }
     auto& budget =
         retry_budgets_.try_emplace(call.service, settings_.bounds.budget_window).first->second;
     budget.on_request(now_);
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -338,6 +338,12 @@
             update_peer_load(*from, frame.load, nullptr);
         }
     }
+    if (frame.__isset.usage) {
+        on_allowance_report(input.link, frame.usage);
+    }
+    if (frame.__isset.grants) {
+        on_allowance_grants(frame.grants);
+    }
     if (frame.__isset.departed) {
         on_departures(frame.departed);
     }
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -3852,6 +3852,582 @@
 }
 
 
+organisation_usage::~organisation_usage() noexcept {
+}
+
+
+void organisation_usage::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void organisation_usage::__set_admitted(const int32_t val) {
+  this->admitted = val;
+}
+
+void organisation_usage::__set_asked(const int32_t val) {
+  this->asked = val;
+}
+std::ostream& operator<<(std::ostream& out, const organisation_usage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t organisation_usage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admitted);
+          this->__isset.admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->asked);
+          this->__isset.asked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t organisation_usage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("organisation_usage");
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->admitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->asked);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(organisation_usage &a, organisation_usage &b) {
+  using ::std::swap;
+  swap(a.organisation, b.organisation);
+  swap(a.admitted, b.admitted);
+  swap(a.asked, b.asked);
+  swap(a.__isset, b.__isset);
+}
+
+organisation_usage::organisation_usage(const organisation_usage& other113) {
+  organisation = other113.organisation;
+  admitted = other113.admitted;
+  asked = other113.asked;
+  __isset = other113.__isset;
+}
+organisation_usage::organisation_usage(organisation_usage&& other114) noexcept {
+  organisation = std::move(other114.organisation);
+  admitted = other114.admitted;
+  asked = other114.asked;
+  __isset = other114.__isset;
+}
+organisation_usage& organisation_usage::operator=(const organisation_usage& other115) {
+  organisation = other115.organisation;
+  admitted = other115.admitted;
+  asked = other115.asked;
+  __isset = other115.__isset;
+  return *this;
+}
+organisation_usage& organisation_usage::operator=(organisation_usage&& other116) noexcept {
+  organisation = std::move(other116.organisation);
+  admitted = other116.admitted;
+  asked = other116.asked;
+  __isset = other116.__isset;
+  return *this;
+}
+void organisation_usage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "organisation_usage(";
+  out << "organisation=" << to_string(organisation);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "asked=" << to_string(asked);
+  out << ")";
+}
+
+
+allowance_report::~allowance_report() noexcept {
+}
+
+
+void allowance_report::__set_sent_at_us(const int64_t val) {
+  this->sent_at_us = val;
+}
+
+void allowance_report::__set_usage(const std::vector<organisation_usage> & val) {
+  this->usage = val;
+}
+std::ostream& operator<<(std::ostream& out, const allowance_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t allowance_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_at_us);
+          this->__isset.sent_at_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage.clear();
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->usage.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
+            {
+              xfer += this->usage[_i121].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t allowance_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("allowance_report");
+
+  xfer += oprot->writeFieldBegin("sent_at_us", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sent_at_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
+    std::vector<organisation_usage> ::const_iterator _iter122;
+    for (_iter122 = this->usage.begin(); _iter122 != this->usage.end(); ++_iter122)
+    {
+      xfer += (*_iter122).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(allowance_report &a, allowance_report &b) {
+  using ::std::swap;
+  swap(a.sent_at_us, b.sent_at_us);
+  swap(a.usage, b.usage);
+  swap(a.__isset, b.__isset);
+}
+
+allowance_report::allowance_report(const allowance_report& other123) {
+  sent_at_us = other123.sent_at_us;
+  usage = other123.usage;
+  __isset = other123.__isset;
+}
+allowance_report::allowance_report(allowance_report&& other124) noexcept {
+  sent_at_us = other124.sent_at_us;
+  usage = std::move(other124.usage);
+  __isset = other124.__isset;
+}
+allowance_report& allowance_report::operator=(const allowance_report& other125) {
+  sent_at_us = other125.sent_at_us;
+  usage = other125.usage;
+  __isset = other125.__isset;
+  return *this;
+}
+allowance_report& allowance_report::operator=(allowance_report&& other126) noexcept {
+  sent_at_us = other126.sent_at_us;
+  usage = std::move(other126.usage);
+  __isset = other126.__isset;
+  return *this;
+}
+void allowance_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "allowance_report(";
+  out << "sent_at_us=" << to_string(sent_at_us);
+  out << ", " << "usage=" << to_string(usage);
+  out << ")";
+}
+
+
+organisation_share::~organisation_share() noexcept {
+}
+
+
+void organisation_share::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void organisation_share::__set_rate(const double val) {
+  this->rate = val;
+}
+
+void organisation_share::__set_fraction(const double val) {
+  this->fraction = val;
+}
+std::ostream& operator<<(std::ostream& out, const organisation_share& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t organisation_share::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->fraction);
+          this->__isset.fraction = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t organisation_share::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("organisation_share");
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fraction", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->fraction);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(organisation_share &a, organisation_share &b) {
+  using ::std::swap;
+  swap(a.organisation, b.organisation);
+  swap(a.rate, b.rate);
+  swap(a.fraction, b.fraction);
+  swap(a.__isset, b.__isset);
+}
+
+organisation_share::organisation_share(const organisation_share& other127) {
+  organisation = other127.organisation;
+  rate = other127.rate;
+  fraction = other127.fraction;
+  __isset = other127.__isset;
+}
+organisation_share::organisation_share(organisation_share&& other128) noexcept {
+  organisation = std::move(other128.organisation);
+  rate = other128.rate;
+  fraction = other128.fraction;
+  __isset = other128.__isset;
+}
+organisation_share& organisation_share::operator=(const organisation_share& other129) {
+  organisation = other129.organisation;
+  rate = other129.rate;
+  fraction = other129.fraction;
+  __isset = other129.__isset;
+  return *this;
+}
+organisation_share& organisation_share::operator=(organisation_share&& other130) noexcept {
+  organisation = std::move(other130.organisation);
+  rate = other130.rate;
+  fraction = other130.fraction;
+  __isset = other130.__isset;
+  return *this;
+}
+void organisation_share::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "organisation_share(";
+  out << "organisation=" << to_string(organisation);
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "fraction=" << to_string(fraction);
+  out << ")";
+}
+
+
+allowance_grants::~allowance_grants() noexcept {
+}
+
+
+void allowance_grants::__set_sent_at_us(const int64_t val) {
+  this->sent_at_us = val;
+}
+
+void allowance_grants::__set_limited(const std::vector<organisation_share> & val) {
+  this->limited = val;
+}
+std::ostream& operator<<(std::ostream& out, const allowance_grants& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t allowance_grants::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_at_us);
+          this->__isset.sent_at_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limited.clear();
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->limited.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
+            {
+              xfer += this->limited[_i135].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limited = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t allowance_grants::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("allowance_grants");
+
+  xfer += oprot->writeFieldBegin("sent_at_us", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sent_at_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limited", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limited.size()));
+    std::vector<organisation_share> ::const_iterator _iter136;
+    for (_iter136 = this->limited.begin(); _iter136 != this->limited.end(); ++_iter136)
+    {
+      xfer += (*_iter136).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(allowance_grants &a, allowance_grants &b) {
+  using ::std::swap;
+  swap(a.sent_at_us, b.sent_at_us);
+  swap(a.limited, b.limited);
+  swap(a.__isset, b.__isset);
+}
+
+allowance_grants::allowance_grants(const allowance_grants& other137) {
+  sent_at_us = other137.sent_at_us;
+  limited = other137.limited;
+  __isset = other137.__isset;
+}
+allowance_grants::allowance_grants(allowance_grants&& other138) noexcept {
+  sent_at_us = other138.sent_at_us;
+  limited = std::move(other138.limited);
+  __isset = other138.__isset;
+}
+allowance_grants& allowance_grants::operator=(const allowance_grants& other139) {
+  sent_at_us = other139.sent_at_us;
+  limited = other139.limited;
+  __isset = other139.__isset;
+  return *this;
+}
+allowance_grants& allowance_grants::operator=(allowance_grants&& other140) noexcept {
+  sent_at_us = other140.sent_at_us;
+  limited = std::move(other140.limited);
+  __isset = other140.__isset;
+  return *this;
+}
+void allowance_grants::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "allowance_grants(";
+  out << "sent_at_us=" << to_string(sent_at_us);
+  out << ", " << "limited=" << to_string(limited);
+  out << ")";
+}
+
+
 mesh_frame::~mesh_frame() noexcept {
 }
 
@@ -3925,6 +4501,16 @@
   this->part = val;
 __isset.part = true;
 }
+
+void mesh_frame::__set_usage(const allowance_report& val) {
+  this->usage = val;
+__isset.usage = true;
+}
+
+void mesh_frame::__set_grants(const allowance_grants& val) {
+  this->grants = val;
+__isset.grants = true;
+}
 std::ostream& operator<<(std::ostream& out, const mesh_frame& obj)
 {
   obj.printTo(out);
@@ -4045,14 +4631,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->departed.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->departed.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += this->departed[_i117].read(iprot);
+              xfer += this->departed[_i145].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4077,6 +4663,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->usage.read(iprot);
+          this->__isset.usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->grants.read(iprot);
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4153,10 +4755,10 @@
     xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-      std::vector<departed_backend> ::const_iterator _iter118;
-      for (_iter118 = this->departed.begin(); _iter118 != this->departed.end(); ++_iter118)
+      std::vector<departed_backend> ::const_iterator _iter146;
+      for (_iter146 = this->departed.begin(); _iter146 != this->departed.end(); ++_iter146)
       {
-        xfer += (*_iter118).write(oprot);
+        xfer += (*_iter146).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4172,6 +4774,16 @@
     xfer += this->part.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.usage) {
+    xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->usage.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.grants) {
+    xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->grants.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4193,77 +4805,87 @@
   swap(a.departed, b.departed);
   swap(a.split, b.split);
   swap(a.part, b.part);
+  swap(a.usage, b.usage);
+  swap(a.grants, b.grants);
   swap(a.__isset, b.__isset);
 }
 
-mesh_frame::mesh_frame(const mesh_frame& other119) {
-  state = other119.state;
-  run = other119.run;
-  answer = other119.answer;
-  cancel = other119.cancel;
-  rows = other119.rows;
-  pull = other119.pull;
-  report = other119.report;
-  share = other119.share;
-  ping = other119.ping;
-  crashes = other119.crashes;
-  load = other119.load;
-  departed = other119.departed;
-  split = other119.split;
-  part = other119.part;
-  __isset = other119.__isset;
-}
-mesh_frame::mesh_frame(mesh_frame&& other120) noexcept {
-  state = std::move(other120.state);
-  run = std::move(other120.run);
-  answer = std::move(other120.answer);
-  cancel = std::move(other120.cancel);
-  rows = std::move(other120.rows);
-  pull = std::move(other120.pull);
-  report = std::move(other120.report);
-  share = std::move(other120.share);
-  ping = other120.ping;
-  crashes = std::move(other120.crashes);
-  load = std::move(other120.load);
-  departed = std::move(other120.departed);
-  split = std::move(other120.split);
-  part = std::move(other120.part);
-  __isset = other120.__isset;
-}
-mesh_frame& mesh_frame::operator=(const mesh_frame& other121) {
-  state = other121.state;
-  run = other121.run;
-  answer = other121.answer;
-  cancel = other121.cancel;
-  rows = other121.rows;
-  pull = other121.pull;
-  report = other121.report;
-  share = other121.share;
-  ping = other121.ping;
-  crashes = other121.crashes;
-  load = other121.load;
-  departed = other121.departed;
-  split = other121.split;
-  part = other121.part;
-  __isset = other121.__isset;
+mesh_frame::mesh_frame(const mesh_frame& other147) {
+  state = other147.state;
+  run = other147.run;
+  answer = other147.answer;
+  cancel = other147.cancel;
+  rows = other147.rows;
+  pull = other147.pull;
+  report = other147.report;
+  share = other147.share;
+  ping = other147.ping;
+  crashes = other147.crashes;
+  load = other147.load;
+  departed = other147.departed;
+  split = other147.split;
+  part = other147.part;
+  usage = other147.usage;
+  grants = other147.grants;
+  __isset = other147.__isset;
+}
+mesh_frame::mesh_frame(mesh_frame&& other148) noexcept {
+  state = std::move(other148.state);
+  run = std::move(other148.run);
+  answer = std::move(other148.answer);
+  cancel = std::move(other148.cancel);
+  rows = std::move(other148.rows);
+  pull = std::move(other148.pull);
+  report = std::move(other148.report);
+  share = std::move(other148.share);
+  ping = other148.ping;
+  crashes = std::move(other148.crashes);
+  load = std::move(other148.load);
+  departed = std::move(other148.departed);
+  split = std::move(other148.split);
+  part = std::move(other148.part);
+  usage = std::move(other148.usage);
+  grants = std::move(other148.grants);
+  __isset = other148.__isset;
+}
+mesh_frame& mesh_frame::operator=(const mesh_frame& other149) {
+  state = other149.state;
+  run = other149.run;
+  answer = other149.answer;
+  cancel = other149.cancel;
+  rows = other149.rows;
+  pull = other149.pull;
+  report = other149.report;
+  share = other149.share;
+  ping = other149.ping;
+  crashes = other149.crashes;
+  load = other149.load;
+  departed = other149.departed;
+  split = other149.split;
+  part = other149.part;
+  usage = other149.usage;
+  grants = other149.grants;
+  __isset = other149.__isset;
   return *this;
 }
-mesh_frame& mesh_frame::operator=(mesh_frame&& other122) noexcept {
-  state = std::move(other122.state);
-  run = std::move(other122.run);
-  answer = std::move(other122.answer);
-  cancel = std::move(other122.cancel);
-  rows = std::move(other122.rows);
-  pull = std::move(other122.pull);
-  report = std::move(other122.report);
-  share = std::move(other122.share);
-  ping = other122.ping;
-  crashes = std::move(other122.crashes);
-  load = std::move(other122.load);
-  departed = std::move(other122.departed);
-  split = std::move(other122.split);
-  part = std::move(other122.part);
-  __isset = other122.__isset;
+mesh_frame& mesh_frame::operator=(mesh_frame&& other150) noexcept {
+  state = std::move(other150.state);
+  run = std::move(other150.run);
+  answer = std::move(other150.answer);
+  cancel = std::move(other150.cancel);
+  rows = std::move(other150.rows);
+  pull = std::move(other150.pull);
+  report = std::move(other150.report);
+  share = std::move(other150.share);
+  ping = other150.ping;
+  crashes = std::move(other150.crashes);
+  load = std::move(other150.load);
+  departed = std::move(other150.departed);
+  split = std::move(other150.split);
+  part = std::move(other150.part);
+  usage = std::move(other150.usage);
+  grants = std::move(other150.grants);
+  __isset = other150.__isset;
   return *this;
 }
 void mesh_frame::printTo(std::ostream& out) const {
@@ -4283,6 +4905,8 @@
   out << ", " << "departed="; (__isset.departed ? (out << to_string(departed)) : (out << "<null>"));
   out << ", " << "split="; (__isset.split ? (out << to_string(split)) : (out << "<null>"));
   out << ", " << "part="; (__isset.part ? (out << to_string(part)) : (out << "<null>"));
+  out << ", " << "usage="; (__isset.usage ? (out << to_string(usage)) : (out << "<null>"));
+  out << ", " << "grants="; (__isset.grants ? (out << to_string(grants)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -74,6 +74,14 @@
 
 class body_part;
 
+class organisation_usage;
+
+class allowance_report;
+
+class organisation_share;
+
+class allowance_grants;
+
 class mesh_frame;
 
 typedef struct _owner_load__isset {
@@ -1486,8 +1494,228 @@
 
 std::ostream& operator<<(std::ostream& out, const body_part& obj);
 
+typedef struct _organisation_usage__isset {
+  _organisation_usage__isset() : organisation(false), admitted(false), asked(false) {}
+  bool organisation :1;
+  bool admitted :1;
+  bool asked :1;
+} _organisation_usage__isset;
+
+class organisation_usage : public virtual ::apache::thrift::TBase {
+ public:
+
+  organisation_usage(const organisation_usage&);
+  organisation_usage(organisation_usage&&) noexcept;
+  organisation_usage& operator=(const organisation_usage&);
+  organisation_usage& operator=(organisation_usage&&) noexcept;
+  organisation_usage() noexcept
+                     : organisation(),
+                       admitted(0),
+                       asked(0) {
+  }
+
+  virtual ~organisation_usage() noexcept;
+  std::string organisation;
+  int32_t admitted;
+  int32_t asked;
+
+  _organisation_usage__isset __isset;
+
+  void __set_organisation(const std::string& val);
+
+  void __set_admitted(const int32_t val);
+
+  void __set_asked(const int32_t val);
+
+  bool operator == (const organisation_usage & rhs) const
+  {
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    if (!(asked == rhs.asked))
+      return false;
+    return true;
+  }
+  bool operator != (const organisation_usage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const organisation_usage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(organisation_usage &a, organisation_usage &b);
+
+std::ostream& operator<<(std::ostream& out, const organisation_usage& obj);
+
+typedef struct _allowance_report__isset {
+  _allowance_report__isset() : sent_at_us(false), usage(false) {}
+  bool sent_at_us :1;
+  bool usage :1;
+} _allowance_report__isset;
+
+class allowance_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  allowance_report(const allowance_report&);
+  allowance_report(allowance_report&&) noexcept;
+  allowance_report& operator=(const allowance_report&);
+  allowance_report& operator=(allowance_report&&) noexcept;
+  allowance_report() noexcept
+                   : sent_at_us(0) {
+  }
+
+  virtual ~allowance_report() noexcept;
+  int64_t sent_at_us;
+  std::vector<organisation_usage>  usage;
+
+  _allowance_report__isset __isset;
+
+  void __set_sent_at_us(const int64_t val);
+
+  void __set_usage(const std::vector<organisation_usage> & val);
+
+  bool operator == (const allowance_report & rhs) const
+  {
+    if (!(sent_at_us == rhs.sent_at_us))
+      return false;
+    if (!(usage == rhs.usage))
+      return false;
+    return true;
+  }
+  bool operator != (const allowance_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const allowance_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(allowance_report &a, allowance_report &b);
+
+std::ostream& operator<<(std::ostream& out, const allowance_report& obj);
+
+typedef struct _organisation_share__isset {
+  _organisation_share__isset() : organisation(false), rate(false), fraction(false) {}
+  bool organisation :1;
+  bool rate :1;
+  bool fraction :1;
+} _organisation_share__isset;
+
+class organisation_share : public virtual ::apache::thrift::TBase {
+ public:
+
+  organisation_share(const organisation_share&);
+  organisation_share(organisation_share&&) noexcept;
+  organisation_share& operator=(const organisation_share&);
+  organisation_share& operator=(organisation_share&&) noexcept;
+  organisation_share() noexcept
+                     : organisation(),
+                       rate(0),
+                       fraction(0) {
+  }
+
+  virtual ~organisation_share() noexcept;
+  std::string organisation;
+  double rate;
+  double fraction;
+
+  _organisation_share__isset __isset;
+
+  void __set_organisation(const std::string& val);
+
+  void __set_rate(const double val);
+
+  void __set_fraction(const double val);
+
+  bool operator == (const organisation_share & rhs) const
+  {
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    if (!(fraction == rhs.fraction))
+      return false;
+    return true;
+  }
+  bool operator != (const organisation_share &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const organisation_share & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(organisation_share &a, organisation_share &b);
+
+std::ostream& operator<<(std::ostream& out, const organisation_share& obj);
+
+typedef struct _allowance_grants__isset {
+  _allowance_grants__isset() : sent_at_us(false), limited(false) {}
+  bool sent_at_us :1;
+  bool limited :1;
+} _allowance_grants__isset;
+
+class allowance_grants : public virtual ::apache::thrift::TBase {
+ public:
+
+  allowance_grants(const allowance_grants&);
+  allowance_grants(allowance_grants&&) noexcept;
+  allowance_grants& operator=(const allowance_grants&);
+  allowance_grants& operator=(allowance_grants&&) noexcept;
+  allowance_grants() noexcept
+                   : sent_at_us(0) {
+  }
+
+  virtual ~allowance_grants() noexcept;
+  int64_t sent_at_us;
+  std::vector<organisation_share>  limited;
+
+  _allowance_grants__isset __isset;
+
+  void __set_sent_at_us(const int64_t val);
+
+  void __set_limited(const std::vector<organisation_share> & val);
+
+  bool operator == (const allowance_grants & rhs) const
+  {
+    if (!(sent_at_us == rhs.sent_at_us))
+      return false;
+    if (!(limited == rhs.limited))
+      return false;
+    return true;
+  }
+  bool operator != (const allowance_grants &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const allowance_grants & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(allowance_grants &a, allowance_grants &b);
+
+std::ostream& operator<<(std::ostream& out, const allowance_grants& obj);
+
 typedef struct _mesh_frame__isset {
-  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false), crashes(false), load(false), departed(false), split(false), part(false) {}
+  _mesh_frame__isset() : state(false), run(false), answer(false), cancel(false), rows(false), pull(false), report(false), share(false), ping(false), crashes(false), load(false), departed(false), split(false), part(false), usage(false), grants(false) {}
   bool state :1;
   bool run :1;
   bool answer :1;
@@ -1502,6 +1730,8 @@
   bool departed :1;
   bool split :1;
   bool part :1;
+  bool usage :1;
+  bool grants :1;
 } _mesh_frame__isset;
 
 class mesh_frame : public virtual ::apache::thrift::TBase {
@@ -1530,6 +1760,8 @@
   std::vector<departed_backend>  departed;
   split_message split;
   body_part part;
+  allowance_report usage;
+  allowance_grants grants;
 
   _mesh_frame__isset __isset;
 
@@ -1561,6 +1793,10 @@
 
   void __set_part(const body_part& val);
 
+  void __set_usage(const allowance_report& val);
+
+  void __set_grants(const allowance_grants& val);
+
   bool operator == (const mesh_frame & rhs) const
   {
     if (__isset.state != rhs.__isset.state)
@@ -1619,6 +1855,14 @@
       return false;
     else if (__isset.part && !(part == rhs.part))
       return false;
+    if (__isset.usage != rhs.__isset.usage)
+      return false;
+    else if (__isset.usage && !(usage == rhs.usage))
+      return false;
+    if (__isset.grants != rhs.__isset.grants)
+      return false;
+    else if (__isset.grants && !(grants == rhs.grants))
+      return false;
     return true;
   }
   bool operator != (const mesh_frame &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -224,6 +224,33 @@
   3: bool dropped
 }
 
+// Requests of an organisation at one node since its last report.
+struct organisation_usage {
+  1: string organisation
+  2: i32 admitted
+  3: i32 asked
+}
+
+struct allowance_report {
+  // Steady clock of the reporting node, in microseconds; comes back with the grants.
+  1: i64 sent_at_us
+  2: list<organisation_usage> usage
+}
+
+struct organisation_share {
+  1: string organisation
+  // Fraction of its requests that the receiver may let in, and what that is expected to be in requests
+  // per second.
+  2: double rate
+  3: double fraction
+}
+
+struct allowance_grants {
+  1: i64 sent_at_us
+  // Organisations that are not in the list are not limited.
+  2: list<organisation_share> limited
+}
+
 struct mesh_frame {
   1: optional node_state state
   2: optional run_request run
@@ -240,4 +267,6 @@
   13: optional list<departed_backend> departed
   14: optional split_message split
   15: optional body_part part
+  16: optional allowance_report usage
+  17: optional allowance_grants grants
 }
