Split the handling of client requests and of run requests

Change: early refusals, the sender's lookup and the making of a call are functions of their own; a run request of another node likewise. No change of behaviour.

--- a/src/libmesh/allowances.cpp
+++ b/src/libmesh/allowances.cpp
@@ -125,9 +125,10 @@
 {
     const double span = seconds_double(std::max(since_report, min_report_interval)).count();
     for (auto& [name, entry] : accounts_) {
-        const auto reported = std::find_if(usage.begin(), usage.end(), [&](const auto& part) {
-            return part.organisation == name;
-        });
+        const auto reported =
+            std::find_if(usage.begin(), usage.end(), [&sought = name](const auto& part) {
+                return part.organisation == sought;
+            });
         const double now_asked = reported == usage.end() ? 0 : reported->asked / span;
         if (now_asked > 0 || entry.demand.contains(from)) {
             auto& known = entry.demand[from];
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -245,6 +245,13 @@
     bool lends_backend(duration mean_hold) const;
 
     // node_calls.cpp: requests from local clients.
+    /// Answers a request that does not become a call; `wait` is stated with 429 and 503 only.
+    void refuse_early(const client_request& input, std::int32_t status, const std::string& reason,
+                      duration wait);
+    /// The organisation whose key came with the request; null when it is unknown.
+    const organisation* sender_of(const client_request& input) const;
+    call_state make_call(const client_request& input, const route& route_config,
+                         const organisation* sender);
     service_id choose_service(const route& route_config);
     /// True when the call may still be in progress when this node, which is stopping, exits.
     bool may_outlast_stop(const call_state& call) const;
@@ -372,6 +379,7 @@
     /// Tells the node which of its backend servers left before it may have restarted.
     void send_departures(link_id link, peer& to);
     void on_departures(const std::vector<mesh_wire::departed_backend>& departed);
+    void on_run_request(link_id link, const mesh_wire::run_request& run);
     void on_run_answer(link_id link, const mesh_wire::run_answer& frame);
     void on_rows_push(link_id link, const mesh_wire::rows_push& frame);
     void on_rows_pull(link_id link);
--- a/src/libmesh/node_calls.cpp
+++ b/src/libmesh/node_calls.cpp
@@ -81,82 +81,94 @@
 
 } // namespace
 
+void node::refuse_early(const client_request& input, std::int32_t status, const std::string& reason,
+                        duration wait)
+{
+    const auto& content = *input.content;
+    ++counters_.refusals_by_reason[reason];
+    log(log_level::warning, "request.refused", content.id,
+        {{"reason", reason},
+         {"host", content.host},
+         {"target", content.target},
+         {"status", std::to_string(status)},
+         {"config_version", std::to_string(config_ ? config_->version().value() : 0)}});
+    std::optional<milliseconds> retry_after;
+    if (status == 503 || status == 429) {
+        retry_after = std::chrono::duration_cast<milliseconds>(wait);
+    }
+    effects_.emplace_back(deliver_refusal{input.call, status, reason, retry_after});
+}
+
+const organisation* node::sender_of(const client_request& input) const
+{
+    return input.key ? config_->organisations().find_by_key(*input.key) : nullptr;
+}
+
+node::call_state node::make_call(const client_request& input, const route& route_config,
+                                 const organisation* sender)
+{
+    call_state call;
+    call.call = input.call;
+    call.content = input.content;
+    call.fingerprint = fingerprint_of(*input.content, settings_.service);
+    call.config = config_;
+    call.route_config = &route_config;
+    call.rank = route_config.priority;
+    if (sender != nullptr) {
+        call.organisation = sender->name;
+        call.rank += sender->priority * ranks_per_organisation_priority;
+    }
+    call.arrived = now_;
+    const auto patience = input.patience.value_or(route_config.timeout);
+    call.client_deadline = now_ + patience;
+    call.deadline = now_ + std::min<duration>(patience, route_config.timeout);
+    call.objective = now_ + route_config.objective - estimated_prior_wait(route_config, patience);
+    call.service = choose_service(route_config);
+    call.release = rollouts_.choose(call.service, random_fraction(), now_);
+    return call;
+}
+
 void node::handle(const client_request& input)
 {
     ++counters_.requests;
     const auto& content = *input.content;
-    const auto refuse_early = [&](std::int32_t status, const std::string& reason,
-                                  duration wait = early_refusal_wait) {
-        ++counters_.refusals_by_reason[reason];
-        log(log_level::warning, "request.refused", content.id,
-            {{"reason", reason},
-             {"host", content.host},
-             {"target", content.target},
-             {"status", std::to_string(status)},
-             {"config_version", std::to_string(config_ ? config_->version().value() : 0)}});
-        std::optional<milliseconds> retry_after;
-        if (status == 503 || status == 429) {
-            retry_after = std::chrono::duration_cast<milliseconds>(wait);
-        }
-        effects_.emplace_back(deliver_refusal{input.call, status, reason, retry_after});
-    };
     if (exit_allowed_) {
-        refuse_early(503, "stopping");
+        refuse_early(input, 503, "stopping", early_refusal_wait);
         return;
     }
     if (!config_) {
-        refuse_early(503, "no_configuration");
+        refuse_early(input, 503, "no_configuration", early_refusal_wait);
         return;
     }
     const auto* route_config = config_->match(content.host, content.target);
     if (route_config == nullptr) {
-        refuse_early(404, "no_route");
+        refuse_early(input, 404, "no_route", {});
         return;
     }
-    const auto& organisations = config_->organisations();
-    const auto* sender = input.key ? organisations.find_by_key(*input.key) : nullptr;
-    if (!organisations.empty() && !route_config->is_public && sender == nullptr) {
+    const auto* sender = sender_of(input);
+    if (sender == nullptr && !route_config->is_public && !config_->organisations().empty()) {
         log(log_level::info, "request.unknown_key", content.id,
             {{"key", input.key ? key_fingerprint(*input.key) : "none"},
              {"route", route_config->name.value()}});
-        refuse_early(401, "unknown_key");
+        refuse_early(input, 401, "unknown_key", {});
         return;
     }
-    const auto fingerprint = fingerprint_of(content, settings_.service);
-    if (const auto left = quarantine_time_left(fingerprint)) {
-        refuse_early(503, quarantine_reason, *left);
+    if (const auto left = quarantine_time_left(fingerprint_of(content, settings_.service))) {
+        refuse_early(input, 503, quarantine_reason, *left);
         return;
     }
-    call_state call;
-    call.call = input.call;
-    call.content = input.content;
-    call.fingerprint = fingerprint;
-    call.config = config_;
-    call.route_config = route_config;
-    call.rank = route_config->priority;
-    if (sender != nullptr) {
-        call.organisation = sender->name;
-        call.rank += sender->priority * ranks_per_organisation_priority;
-    }
-    call.arrived = now_;
-    const auto patience = input.patience.value_or(route_config->timeout);
-    call.client_deadline = now_ + patience;
-    call.deadline = now_ + std::min<duration>(patience, route_config->timeout);
-    call.objective = now_ + route_config->objective - estimated_prior_wait(*route_config, patience);
-    call.service = choose_service(*route_config);
-    call.release = rollouts_.choose(call.service, random_fraction(), now_);
+    auto call = make_call(input, *route_config, sender);
     if (may_outlast_stop(call)) {
-        refuse_early(503, "stopping");
+        refuse_early(input, 503, "stopping", early_refusal_wait);
         return;
     }
-    if (sender != nullptr) {
-        if (const auto wait =
-                allowances_.refuse(*sender, peers_.all().size() + 1, random_fraction(), now_)) {
-            // Spread, so that the clients of an organisation do not return together.
-            const auto spread = 1 + random_fraction();
-            refuse_early(429, "allowance", std::chrono::duration_cast<duration>(*wait * spread));
-            return;
-        }
+    if (const auto wait = sender == nullptr ? std::nullopt
+                                            : allowances_.refuse(*sender, peers_.all().size() + 1,
+                                                                 random_fraction(), now_)) {
+        // Spread, so that the clients of an organisation do not return together.
+        refuse_early(input, 429, "allowance",
+                     std::chrono::duration_cast<duration>(*wait * (1 + random_fraction())));
+        return;
     }
     auto& budget =
         retry_budgets_.try_emplace(call.service, settings_.bounds.budget_window).first->second;
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -300,14 +300,7 @@
         on_node_state(input.link, frame.state);
     }
     if (frame.__isset.run) {
-        auto content = std::make_shared<request>();
-        content->method = frame.run.method;
-        content->target = frame.run.target;
-        content->head = frame.run.head;
-        content->body = frame.run.body;
-        content->id = frame.run.request_id;
-        offer_run({input.link, attempt_id{static_cast<std::uint64_t>(frame.run.call)}}, frame.run,
-                  std::move(content));
+        on_run_request(input.link, frame.run);
     }
     if (frame.__isset.answer) {
         on_run_answer(input.link, frame.answer);
@@ -353,6 +346,17 @@
     }
 }
 
+void node::on_run_request(link_id link, const mesh_wire::run_request& run)
+{
+    auto content = std::make_shared<request>();
+    content->method = run.method;
+    content->target = run.target;
+    content->head = run.head;
+    content->body = run.body;
+    content->id = run.request_id;
+    offer_run({link, attempt_id{static_cast<std::uint64_t>(run.call)}}, run, std::move(content));
+}
+
 void node::send_departures(link_id link, peer& to)
 {
     to.departed.forget_old(now_, unknown_start_memory());
