--- a/src/libmesh/cold_start_test.cpp
+++ b/src/libmesh/cold_start_test.cpp
@@ -144,3 +144,37 @@
         BOOST_TEST(result.status == 200);
     }
 }
+
+// Guards against a zone that stays evacuated because the store had dropped the history in which the
+// order was removed.
+BOOST_AUTO_TEST_CASE(a_row_that_a_whole_table_lacks_counts_as_removed)
+{
+    mesh_settings settings;
+    settings.node = node_id{"n0"};
+    settings.zone = zone_id{"z0"};
+    node core(settings, 1, 1);
+    const time_point start{std::chrono::hours(1)};
+    mesh_wire::operator_row order;
+    order.__set_key("evacuate/z1");
+    order.__set_row_version(10);
+    order.__set_document("{}");
+    const auto removed_by = [&](const rows_read& read) {
+        std::vector<mesh_wire::operator_row> rows;
+        for (const auto& effect : core.step(read, start)) {
+            if (const auto* command = std::get_if<apply_rows>(&effect)) {
+                rows.insert(rows.end(), command->rows.begin(), command->rows.end());
+            }
+        }
+        return rows;
+    };
+    BOOST_TEST(removed_by({{order}, 10, true, false}).empty());
+    // A change without the row, and a stale read of the table, say nothing.
+    BOOST_TEST(removed_by({{}, 11, true, false}).empty());
+    BOOST_TEST(removed_by({{}, 9, true, true}).empty());
+    const auto removed = removed_by({{}, 12, true, true});
+    BOOST_REQUIRE(removed.size() == 1U);
+    BOOST_TEST(removed.front().key == "evacuate/z1");
+    BOOST_TEST(removed.front().removed);
+    BOOST_TEST(removed.front().row_version == 12);
+    BOOST_TEST(removed_by({{}, 13, true, true}).empty());
+}
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -80,6 +80,12 @@
     const std::optional<backend>& own_backend() const { return own_backend_; }
     /// Number of requests in quarantine, which are not sent to any backend server.
     std::size_t quarantined() const { return quarantined_.size(); }
+    /// Number of zones to whose backend servers nothing may be sent.
+    std::size_t evacuated_zones() const;
+    /// Number of organisations of which this node lets in a part only.
+    std::size_t limited_organisations() const { return allowances_.limited(); }
+    /// Whether the local backend server has started lately and bears few requests.
+    bool is_backend_cold() const { return own_backend_ && own_backend_->cold_until > now_; }
     /// The record that this node sends to its peers.
     const mesh_wire::node_record& record() const { return record_; }
 
--- a/src/libmesh/node_owner.cpp
+++ b/src/libmesh/node_owner.cpp
@@ -397,6 +397,13 @@
     }
 }
 
+std::size_t node::evacuated_zones() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(evacuations_.begin(), evacuations_.end(),
+                      [](const auto& entry) { return entry.second.active; }));
+}
+
 bool node::is_evacuated(const zone_id& zone) const
 {
     const auto found = evacuations_.find(zone);
--- a/src/libsidecar/node_metrics.cpp
+++ b/src/libsidecar/node_metrics.cpp
@@ -72,6 +72,9 @@
             "camphor_queue_waiting{priority=\"" + std::to_string(rank) + "\"}", waiting);
     }
     add_metric("camphor_queue_slots", queue.slots());
+    add_metric("camphor_backend_cold", node.is_backend_cold() ? 1 : 0);
+    add_metric("camphor_zones_evacuated", static_cast<double>(node.evacuated_zones()));
+    add_metric("camphor_organisations_limited", static_cast<double>(node.limited_organisations()));
     add_metric("camphor_ready", node.is_ready() ? 1 : 0);
     add_metric("camphor_config_version",
                node.config() ? static_cast<double>(node.config()->version().value()) : 0);
