--- a/src/libmesh/allowances.cpp
+++ b/src/libmesh/allowances.cpp
@@ -1,4 +1,4 @@
-// Token buckets of nodes, and the accounts from which their shares are lent.
+// Admission at a node, and the accounts by which the lender limits organisations.
 #include "libmesh/allowances.h"
 
 #include <algorithm>
@@ -12,7 +12,8 @@
 using namespace std::chrono_literals;
 using seconds_double = std::chrono::duration<double>;
 
-/// A node may let in the requests of this time at once when its share was not used.
+/// A node without grants may let in the requests of this time at once when its equal part was not
+/// used.
 constexpr double bucket_seconds = 0.5;
 /// An organisation is limited when less than this part of its burst is left, and free again when
 /// more than the second part is.
--- a/src/libmesh/allowances.h
+++ b/src/libmesh/allowances.h
@@ -1,6 +1,6 @@
 // Allowances of organisations over all nodes. An organisation that stays within its allowance is
-// not limited at any node; one that exceeds it is limited everywhere, by shares that follow its
-// demand. Answers the load of one organisation that suddenly sends many times its usual, on few
+// not limited at any node; one that exceeds it is limited everywhere, to one fraction of its
+// requests. Answers the load of one organisation that suddenly sends many times its usual, on few
 // nodes or on all, while nodes are cut off, killed or frozen.
 #pragma once
 
