--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -220,6 +220,7 @@
         self.arrivals = []
         self.acknowledged_at = None
         self.stopped = False
+        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.machine.host, APP)
@@ -264,11 +265,17 @@
         except CALL_ERRORS:
             pass
         self.server.close()
+        self.close_connections()
+
+    def close_connections(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     def load(self):
         return f"{self.running},{self.waiting},{self.slots}"
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 (method, target, _), fields = await read_head(reader)
@@ -277,6 +284,7 @@
         except (*CALL_ERRORS, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def handle(self, method, target, fields, body, reader, writer):
