Log store versions that decrease and rows that are dropped as older

Cause: the logs could not tell a store that came back from a copy from one that discards its history or from pushes that get lost between nodes. Change: store.version_decreased, row.older_dropped, camphor_store_histories_gone_total and camphor_rows_older_total. No decision changes.

--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -42,6 +42,8 @@
     std::uint64_t backend_ends = 0;
     /// Number of times that a read of the store exceeded its time limit.
     std::uint64_t late_reads = 0;
+    /// Operators' rows that were dropped as older than the known row though their text differs.
+    std::uint64_t older_rows = 0;
     /// Requests that ended without a backend server's answer, by reason.
     std::map<std::string, std::uint64_t> refusals_by_reason;
 
@@ -402,6 +404,9 @@
     bool is_read_overdue() const;
     void detect_late_reads();
     void push_rows(const std::vector<mesh_wire::operator_row>& rows);
+    /// Logs and counts a row that is dropped as older than the known one though its text differs.
+    void log_older_row(const mesh_wire::operator_row& known, const mesh_wire::operator_row& dropped,
+                       const std::string& source);
     /// Marks the known rows that a read of the whole table lacks as removed and returns them: their
     /// removal was not seen, since the store no longer held its history.
     std::vector<mesh_wire::operator_row> remove_missing_rows(const rows_read& input);
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -655,6 +655,8 @@
         if (row.row_version > known_row.row_version) {
             changed_rows.push_back(make_row_delta(known_row, row));
             known_row = row;
+        } else {
+            log_older_row(known_row, row, "store");
         }
     }
     read_up_to_ = std::max(read_up_to_, input.read_up_to);
@@ -670,6 +672,20 @@
     }
 }
 
+void node::log_older_row(const mesh_wire::operator_row& known,
+                         const mesh_wire::operator_row& dropped, const std::string& source)
+{
+    if (dropped.base_version != 0 || dropped.document == known.document) {
+        return;
+    }
+    ++counters_.older_rows;
+    log(log_level::warning, "row.older_dropped", "",
+        {{"key", dropped.key},
+         {"from", source},
+         {"row_version", std::to_string(dropped.row_version)},
+         {"known_version", std::to_string(known.row_version)}});
+}
+
 std::vector<mesh_wire::operator_row> node::remove_missing_rows(const rows_read& input)
 {
     std::set<std::string> present;
@@ -707,6 +723,7 @@
     for (const auto& row : frame.rows) {
         auto& known_row = rows_[row.key];
         if (row.row_version <= known_row.row_version) {
+            log_older_row(known_row, row, "peer");
             continue;
         }
         // A delta against a version that this node does not hold is dropped; the node pulls the
--- a/src/libsidecar/node_metrics.cpp
+++ b/src/libsidecar/node_metrics.cpp
@@ -55,6 +55,7 @@
     add_metric("camphor_backend_ends_total", static_cast<double>(counts.backend_ends));
     add_metric("camphor_requests_quarantined", static_cast<double>(node.quarantined()));
     add_metric("camphor_store_late_reads_total", static_cast<double>(counts.late_reads));
+    add_metric("camphor_rows_older_total", static_cast<double>(counts.older_rows));
     for (const auto& [reason, count] : counts.refusals_by_reason) {
         out += shell::metric_line("camphor_not_served_total{reason=\"" + reason + "\"}",
                                   static_cast<double>(count));
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -531,6 +531,7 @@
          static_cast<double>(peers_.counters().invalid_frames));
     line("camphor_store_calls_total", static_cast<double>(store_.counters().calls));
     line("camphor_store_failures_total", static_cast<double>(store_.counters().failures));
+    line("camphor_store_histories_gone_total", static_cast<double>(store_.histories_gone()));
     line("camphor_store_bytes_total", static_cast<double>(store_.counters().bytes));
     if (const auto age = store_.read_age()) {
         line("camphor_store_read_age_seconds", std::chrono::duration<double>(*age).count());
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -348,6 +348,7 @@
         return;
     }
     if (reply.status == shell::store_history_gone && !whole_table) {
+        ++histories_gone_;
         log(log_level::info, "store.history_gone", {{"read_up_to", std::to_string(read_up_to_)}});
         read_operator_table();
         return;
@@ -370,6 +371,12 @@
             has_order = decode_row(wire_row) || has_order;
             event.rows.push_back(std::move(wire_row));
         }
+        if (answer.store_version < read_up_to_) {
+            log(log_level::warning, "store.version_decreased",
+                {{"stated", std::to_string(answer.store_version)},
+                 {"read_up_to", std::to_string(read_up_to_)},
+                 {"whole_table", whole_table ? "true" : "false"}});
+        }
         read_up_to_ = std::max(read_up_to_, answer.store_version);
         event.read_up_to = read_up_to_;
         event.fresh = true;
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -51,6 +51,8 @@
     void write(const mesh::write_crashes& effect);
 
     shell::store_counters counters() const;
+    /// Number of reads whose history the store no longer had.
+    std::uint64_t histories_gone() const { return histories_gone_; }
     /// Time since the store last answered a read of the operators' rows, or since the start if it
     /// has answered none. Empty while other nodes read the rows for this one.
     std::optional<duration> read_age() const;
@@ -112,6 +114,7 @@
     std::mt19937_64 random_;
     /// High-water mark: the newest store version up to which the operators' rows were read.
     std::int64_t read_up_to_ = 0;
+    std::uint64_t histories_gone_ = 0;
     bool following_feed_ = true;
     bool feed_pending_ = false;
     /// When the latest read of the operators' rows was sent.
