Reproduce: configurations not in force after the store came back from a copy

What callers saw: requests for new routes refused with 404, or run as an older version says. Change: the stand-in of the store takes a copy and comes back from it with lower versions and a higher Store-Era; it answers 410 to a read from a version that it does not have.

--- a/src/standins/platform_service.cpp
+++ b/src/standins/platform_service.cpp
@@ -91,7 +91,7 @@
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
     const auto second = std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count();
     if (counts_by_second_.empty() || counts_by_second_.back().second != second) {
-        counts_by_second_.push_back({second, 0, 0, 0});
+        counts_by_second_.push_back({second, 0, 0, 0, 0});
     }
     if (counts_by_second_.size() > max_kept_seconds) {
         counts_by_second_.pop_front();
@@ -99,6 +99,12 @@
     return counts_by_second_.back();
 }
 
+void platform_service::answer(const http_exchange_ptr& reply, http_response response) const
+{
+    response.headers.emplace_back("Store-Era", std::to_string(era_));
+    reply->answer(std::move(response));
+}
+
 void platform_service::handle(const http_request& request, const http_exchange_ptr& reply)
 {
     const bool is_control = request.target.starts_with("/control/");
@@ -115,7 +121,7 @@
 {
     const bool is_control = request.target.starts_with("/control/");
     if (!is_control && is_active(platform_fault_mode::down)) {
-        reply->answer(error_response(503, "unavailable", "the platform is down; no effect"));
+        answer(reply, error_response(503, "unavailable", "the platform is down; no effect"));
         return;
     }
     bool is_write = false;
@@ -136,7 +142,7 @@
     if (drop_answer) {
         reply->drop();
     } else {
-        reply->answer(std::move(response));
+        answer(reply, std::move(response));
     }
     if (is_write || is_control) {
         answer_waiting_feeds(is_active(platform_fault_mode::down));
@@ -169,6 +175,13 @@
         table_.drop_history();
         return {};
     }
+    if (is_put && target == "/control/copy") {
+        copy_ = table_;
+        return {};
+    }
+    if (is_put && target == "/control/restore") {
+        return restore_copy();
+    }
     if ((is_put || is_get) && target.starts_with("/control/row?")) {
         return handle_control_row(request);
     }
@@ -187,7 +200,7 @@
     const auto wait_ms = parse_number(parts, "wait_ms", max_feed_wait_ms, 0);
     const auto feed_changes = table_.changes(table, after);
     if (!feed_changes || !feed_changes->rows.empty() || wait_ms == 0) {
-        reply->answer(changes(table, after));
+        answer(reply, changes(table, after));
         return;
     }
     const auto id = ++last_feed_id_;
@@ -195,7 +208,7 @@
     timeout_timer.async_wait([this, id](boost::system::error_code error) {
         const auto feed = feeds_.find(id);
         if (!error && feed != feeds_.end()) {
-            feed->second.reply->answer(changes(feed->second.table, feed->second.after));
+            answer(feed->second.reply, changes(feed->second.table, feed->second.after));
             feeds_.erase(feed);
         }
     });
@@ -211,16 +224,17 @@
         if (drop_all) {
             feed.reply->drop();
         } else if (changed) {
-            feed.reply->answer(changes(feed.table, feed.after));
+            answer(feed.reply, changes(feed.table, feed.after));
         }
         feed_it = drop_all || changed ? feeds_.erase(feed_it) : std::next(feed_it);
     }
 }
 
-http_response platform_service::changes(const std::string& table, std::int64_t after) const
+http_response platform_service::changes(const std::string& table, std::int64_t after)
 {
     const auto feed_changes = table_.changes(table, after);
     if (!feed_changes) {
+        ++current_counts().histories_gone;
         return error_response(410, "gone", "changes after this version are no longer kept");
     }
     return {200, rows_to_json(*feed_changes), "application/json", {}, false};
@@ -290,6 +304,15 @@
     return {200, rows.front().value, "application/json", {}, false};
 }
 
+http_response platform_service::restore_copy()
+{
+    table_ = copy_;
+    ++era_;
+    // The store was away: the connections of the waiting feeds have ended.
+    answer_waiting_feeds(true);
+    return {};
+}
+
 http_response platform_service::set_fault(const std::string& body)
 {
     const auto request = parse_platform_fault(body);
@@ -312,16 +335,19 @@
         by_second.push_back({{"second", counts.second},
                              {"reads", counts.reads},
                              {"writes", counts.writes},
-                             {"transactions", counts.transactions}});
+                             {"transactions", counts.transactions},
+                             {"histories_gone", counts.histories_gone}});
         total.reads += counts.reads;
         total.writes += counts.writes;
         total.transactions += counts.transactions;
+        total.histories_gone += counts.histories_gone;
     }
     const json document{{"rows", table_.row_count()},
                         {"objects", table_.object_count()},
                         {"reads", total.reads},
                         {"writes", total.writes},
                         {"transactions", total.transactions},
+                        {"histories_gone", total.histories_gone},
                         {"by_second", by_second}};
     return {200, document.dump(), "application/json", {}, false};
 }
--- a/src/standins/platform_service.h
+++ b/src/standins/platform_service.h
@@ -1,6 +1,6 @@
 // Stand-in for the platform's store. Implements the published HTTP protocol and injects outages,
-// latency, lost answers and loss of change history. Paths under `/control/` are for tests: faults,
-// request statistics and rows of operator tables.
+// latency, lost answers, loss of change history and a return from a copy. Paths under `/control/`
+// are for tests: faults, copies, request statistics and rows of operator tables.
 #pragma once
 
 #include "http_server.h"
@@ -82,8 +82,14 @@
         std::uint64_t reads = 0;
         std::uint64_t writes = 0;
         std::uint64_t transactions = 0;
+        /// Feed requests that were answered 410.
+        std::uint64_t histories_gone = 0;
     };
 
+    /// Answers a call of the store, which states how often the store came back from a copy.
+    void answer(const http_exchange_ptr& reply, http_response response) const;
+    /// Returns to the table of the last `/control/copy`: what was written since then is gone.
+    http_response restore_copy();
     bool is_active(platform_fault_mode mode) const;
     const platform_fault& fault(platform_fault_mode mode) const;
     second_counts& current_counts();
@@ -92,7 +98,7 @@
     /// Answers feeds whose table changed. With `drop_all`, closes the connections of all feeds
     /// without a response instead.
     void answer_waiting_feeds(bool drop_all);
-    http_response changes(const std::string& table, std::int64_t after) const;
+    http_response changes(const std::string& table, std::int64_t after);
     http_response route(const http_request& request, bool& is_write);
     http_response transact(const http_request& request);
     http_response read_rows(const std::string& target);
@@ -104,6 +110,10 @@
 
     boost::asio::io_context& io_;
     platform_table table_;
+    /// Table as of the last copy.
+    platform_table copy_;
+    /// Value of the header Store-Era; rises with each return from a copy.
+    std::int64_t era_ = 1;
     std::map<std::uint64_t, waiting_feed> feeds_;
     std::uint64_t last_feed_id_ = 0;
     std::mt19937_64 random_;
--- a/src/standins/platform_table.cpp
+++ b/src/standins/platform_table.cpp
@@ -107,7 +107,7 @@
 std::optional<store_rows> platform_table::changes(const std::string& table,
                                                   std::int64_t after) const
 {
-    if (after < discarded_version_) {
+    if (after < discarded_version_ || after > version_) {
         return std::nullopt;
     }
     store_rows out;
--- a/src/standins/platform_table.h
+++ b/src/standins/platform_table.h
@@ -30,7 +30,7 @@
     /// Rows of a range in key order.
     platform::store_rows read(const std::string& table, const platform::row_range& range) const;
     /// Rows written or removed after a version, each with its latest change, oldest change first;
-    /// empty optional when that history is no longer kept.
+    /// empty optional when that history is no longer kept or the version was not reached yet.
     std::optional<platform::store_rows> changes(const std::string& table, std::int64_t after) const;
     /// Discards the change history up to the current version.
     void drop_history();
--- a/src/standins/standin_test.cpp
+++ b/src/standins/standin_test.cpp
@@ -57,6 +57,7 @@
     table.drop_history();
     BOOST_TEST(!table.changes("t", after).has_value());
     BOOST_TEST(table.changes("t", table.version()).has_value());
+    BOOST_TEST(!table.changes("t", table.version() + 1).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(malformed_transaction_is_parsed_or_rejected)
--- a/testsuite/sidecar/nodes.py
+++ b/testsuite/sidecar/nodes.py
@@ -28,11 +28,11 @@
 _next_ports = range(0)
 
 
-def boot_settings(name, service, app_port, listen_ports, store_port):
+def boot_settings(name, service, app_port, listen_ports, store_port, zone="z1"):
     inbound_port, outbound_port, ready_port, control_port, peer_port = listen_ports
     address = lambda port: f"127.0.0.1:{port}"
     return {
-        "self": {"node": name, "ip": "127.0.0.1", "zone": "z1", "service": service,
+        "self": {"node": name, "ip": "127.0.0.1", "zone": zone, "service": service,
                  "app_address": address(app_port), "limits": {"memory_mb": 260}},
         "network": {"listen": {"inbound": address(inbound_port), "outbound": address(outbound_port),
                                "ready": address(ready_port), "control": address(control_port)},
@@ -75,7 +75,8 @@
 
 
 class Node:
-    def __init__(self, program, folder, name, service, instance, store_port, backend=None):
+    def __init__(self, program, folder, name, service, instance, store_port, backend=None,
+                 zone="z1"):
         """Starts a node and its backend server.
 
         With `backend`, the caller starts the backend server itself, on app_port.
@@ -90,7 +91,7 @@
             self.server = standin.start_backend(self.backend, self.app_port)
         self.settings_path = os.path.join(folder, name + ".json")
         self.settings = boot_settings(name, service, self.app_port, [*listen_ports, self.peer_port],
-                                      store_port)
+                                      store_port, zone)
         self.write_settings(json.dumps(self.settings))
         self.log_file = open(os.path.join(folder, name + ".log"), "w+", encoding="utf-8")
         self.program = program
--- a/testsuite/sidecar/standin.py
+++ b/testsuite/sidecar/standin.py
@@ -45,6 +45,16 @@
         fault = {"mode": "down" if down else "none"}
         assert self._send("PUT", "/control/fault", json.dumps(fault))[0] == 200
 
+    def take_copy(self):
+        assert self._send("PUT", "/control/copy")[0] == 200
+
+    def restore_copy(self):
+        """Loses what was written since the last copy; its versions are given out again."""
+        assert self._send("PUT", "/control/restore")[0] == 200
+
+    def stats(self):
+        return json.loads(self._send("GET", "/control/stats")[1])
+
     def stop(self):
         self.process.terminate()
         self.process.wait(timeout=10)
