--- a/src/libmesh/mesh_config.h
+++ b/src/libmesh/mesh_config.h
@@ -100,7 +100,8 @@
     release_id target;
     /// Time within which the roll-out has to end.
     milliseconds duration{};
-    /// Version of the row that holds the order; larger for a later order of the same service.
+    /// Packed store_position of the row that holds the order; larger for a later order of the same
+    /// service.
     std::int64_t row_version = 0;
 };
 
--- a/src/libmesh/messages.h
+++ b/src/libmesh/messages.h
@@ -175,14 +175,15 @@
 struct rollout_status {
     service_id service;
     release_id target;
-    /// Version of the row with the roll-out order that this status refers to; 0 when unknown.
+    /// Version in the store of the row with the roll-out order that this status refers to; 0 when
+    /// unknown.
     std::int64_t order = 0;
     rollout_phase phase{};
 };
 
 struct rollout_status_read {
     rollout_status status;
-    /// Version of the status row.
+    /// Packed store_position of the status row.
     std::int64_t row_version = 0;
 };
 
@@ -190,7 +191,7 @@
 struct rollout_status_written {
     rollout_status status;
     enum class outcome : std::uint8_t { written, conflict, failed } result{};
-    /// Version of the status row after a successful write.
+    /// Packed store_position of the status row after a successful write.
     std::int64_t row_version = 0;
 };
 
@@ -199,9 +200,16 @@
     std::vector<mesh_wire::node_record> nodes;
 };
 
+/// The store came back from a copy: what was written to it since the copy is gone.
+struct store_restored {
+    /// Rises each time.
+    std::int64_t era = 0;
+};
+
 /// Operators' rows that this node read from the store, to be passed on to other nodes.
 struct rows_read {
     std::vector<mesh_wire::operator_row> rows;
+    /// Packed store_position.
     std::int64_t read_up_to = 0;
     bool fresh = false;
     /// `rows` are all rows of the table: rows that are not among them no longer exist.
@@ -212,6 +220,7 @@
 struct evacuation_read {
     zone_id zone;
     bool active = false;
+    /// Packed store_position of the write.
     std::int64_t row_version = 0;
 };
 
@@ -249,8 +258,8 @@
                  backend_request_failed, backend_checked_in, backend_deregistered, departures_read,
                  departures_stored, link_opened, link_closed, frame_arrived, config_read,
                  rollout_order_read, rollout_status_read, rollout_status_written, nodes_listed,
-                 evacuation_read, rows_read, crashes_read, crashes_written, timer_tick,
-                 machine_resumed, shutdown_requested, exit_imminent, bounds_changed>;
+                 evacuation_read, rows_read, store_restored, crashes_read, crashes_written,
+                 timer_tick, machine_resumed, shutdown_requested, exit_imminent, bounds_changed>;
 
 // Effects.
 
@@ -310,14 +319,20 @@
     bool follow = true;
 };
 
+/// Another node knows that the store has come back from a copy.
+struct enter_store_era {
+    std::int64_t era = 0;
+};
+
 /// Operators' rows that another node read from the store; the shell decodes and stores them.
 struct apply_rows {
     std::vector<mesh_wire::operator_row> rows;
+    /// Packed store_position.
     std::int64_t read_up_to = 0;
 };
 
-/// Writes a roll-out's status if the row still has the expected version (0: the row does not
-/// exist).
+/// Writes a roll-out's status if the row still has the expected version in the store (0: the row
+/// does not exist).
 struct write_rollout_status {
     rollout_status status;
     std::int64_t expected_version = 0;
@@ -362,10 +377,11 @@
 /// The shutdown that SIGTERM requested is complete: the process may exit.
 struct shutdown_complete {};
 
-using effect = std::variant<deliver_answer, deliver_refusal, send_to_backend, abort_run, dial_peer,
-                            send_to_peer, close_link, set_store_reading, apply_rows,
-                            write_rollout_status, acknowledge_check_in, store_departures,
-                            read_crashes, write_crashes, log_line, shutdown_complete>;
+using effect =
+    std::variant<deliver_answer, deliver_refusal, send_to_backend, abort_run, dial_peer,
+                 send_to_peer, close_link, set_store_reading, enter_store_era, apply_rows,
+                 write_rollout_status, acknowledge_check_in, store_departures, read_crashes,
+                 write_crashes, log_line, shutdown_complete>;
 using effect_list = std::vector<effect>;
 
 } // namespace camphor::mesh
--- a/src/libmesh/node.h
+++ b/src/libmesh/node.h
@@ -7,6 +7,7 @@
 #include "libmesh/mesh_config.h"
 #include "libmesh/mesh_settings.h"
 #include "libmesh/messages.h"
+#include "libmesh/operator_table.h"
 #include "libmesh/placement.h"
 #include "libmesh/request_print.h"
 #include "libmesh/retry_window.h"
@@ -230,6 +231,7 @@
     void handle(const rollout_status_written& input);
     void handle(const nodes_listed& input);
     void handle(const rows_read& input);
+    void handle(const store_restored& input);
     void handle(const crashes_read& input);
     void handle(const crashes_written& input);
     void handle(const timer_tick& input);
@@ -404,12 +406,10 @@
     bool is_read_overdue() const;
     void detect_late_reads();
     void push_rows(const std::vector<mesh_wire::operator_row>& rows);
-    /// Logs and counts a row that is dropped as older than the known one though its text differs.
-    void log_older_row(const mesh_wire::operator_row& known, const mesh_wire::operator_row& dropped,
-                       const std::string& source);
-    /// Marks the known rows that a read of the whole table lacks as removed and returns them: their
-    /// removal was not seen, since the store no longer held its history.
-    std::vector<mesh_wire::operator_row> remove_missing_rows(const rows_read& input);
+    void log_dropped_rows(const std::vector<operator_table::dropped_row>& rows,
+                          const std::string& source);
+    /// Another node knows that the store has come back from a copy.
+    void enter_store_era(std::int64_t era);
     /// Sends the rows to a few of the nodes, each of which relays them to a part of the rest. The
     /// number of copies that one node sends is limited, since requests queue behind them on its
     /// connection to the network.
@@ -454,9 +454,10 @@
     /// The roll-out leader at the last evaluation.
     std::optional<node_id> rollout_leader_;
     time_point leader_since_{};
-    /// Latest known version of each operators' row, by key; sent to nodes that pull them.
-    std::map<std::string, mesh_wire::operator_row> rows_;
-    std::int64_t read_up_to_ = 0;
+    /// The operators' rows; sent to nodes that pull them.
+    operator_table operator_rows_;
+    /// Latest known era of the store; 0 when it states none.
+    std::int64_t store_era_ = 0;
 
     std::unordered_map<call_id, call_state> calls_;
     std::unordered_map<attempt_id, call_id> attempts_;
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -1,11 +1,8 @@
 // Connections to other nodes and the frames exchanged with them: membership, load reports,
 // operators' rows and roll-outs.
-#include "libmesh/document_delta.h"
 #include "libmesh/log_text.h"
 #include "libmesh/node.h"
 
-#include <camphortally/balancer.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -58,61 +55,6 @@
 /// Minimum time between two pulls.
 constexpr auto pull_interval = 500ms;
 
-/// Documents with fewer bytes than this are sent whole.
-constexpr std::size_t min_delta_document_bytes = 2'048;
-
-/// Returns `row` as a delta against `base`, or unchanged when the base document is short or the
-/// row was removed.
-mesh_wire::operator_row make_row_delta(const mesh_wire::operator_row& base,
-                                       const mesh_wire::operator_row& row)
-{
-    if (base.document.size() < min_delta_document_bytes || row.removed) {
-        return row;
-    }
-    mesh_wire::operator_row delta;
-    delta.__set_key(row.key);
-    delta.__set_row_version(row.row_version);
-    delta.__set_base_version(base.row_version);
-    delta.__set_parts(make_delta(base.document, row.document));
-    delta.__set_digest(static_cast<std::int64_t>(stable_hash(row.document)));
-    return delta;
-}
-
-/// Returns the row with its whole document, or none when it is a delta against another version
-/// than `base` or does not match its digest.
-std::optional<mesh_wire::operator_row> resolve_row(const mesh_wire::operator_row& base,
-                                                   const mesh_wire::operator_row& row)
-{
-    if (row.base_version == 0) {
-        return row;
-    }
-    if (row.base_version != base.row_version) {
-        return std::nullopt;
-    }
-    auto document = apply_delta(base.document, row.parts);
-    if (!document || static_cast<std::int64_t>(stable_hash(*document)) != row.digest) {
-        return std::nullopt;
-    }
-    mesh_wire::operator_row whole;
-    whole.__set_key(row.key);
-    whole.__set_row_version(row.row_version);
-    whole.__set_document(*document);
-    return whole;
-}
-
-/// Total size of the documents or deltas in bytes.
-std::size_t document_bytes(const std::vector<mesh_wire::operator_row>& rows)
-{
-    std::size_t total = 0;
-    for (const auto& row : rows) {
-        total += row.document.size();
-        for (const auto& part : row.parts) {
-            total += part.literal.size();
-        }
-    }
-    return total;
-}
-
 } // namespace
 
 void node::handle(const nodes_listed& input)
@@ -266,6 +208,7 @@
     state.__set_config_version(config_ ? config_->version().value() : 0);
     state.__set_store_fresh(store_fresh_);
     state.__set_reads_late(reads_late_);
+    state.__set_store_era(store_era_);
     mesh_wire::mesh_frame frame;
     frame.__set_state(state);
     return frame;
@@ -546,6 +489,7 @@
     from.stopping = state.stopping;
     from.lends_until = now_ + milliseconds(state.lends_for_ms);
     from.config_version = state.config_version;
+    enter_store_era(state.store_era);
     const bool was_reading_for_zone = is_reading_for_zone(from);
     from.store_fresh = state.store_fresh;
     from.reads_late = state.reads_late;
@@ -639,77 +583,60 @@
         if (reads_late_ && !is_read_overdue()) {
             reads_late_ = false;
             log(log_level::info, "store.read_in_time", "",
-                {{"read_up_to", std::to_string(input.read_up_to)}});
+                {{"read_up_to",
+                  std::to_string(store_position::from_packed(input.read_up_to).version())}});
         }
         last_read_at_ = now_;
     }
     const bool is_status_changed =
         store_fresh_ != (input.fresh && reads_store_) || was_late != reads_late_;
     store_fresh_ = input.fresh && reads_store_;
-    std::vector<mesh_wire::operator_row> changed_rows;
-    if (input.whole_table && input.read_up_to >= read_up_to_) {
-        changed_rows = remove_missing_rows(input);
-    }
-    for (const auto& row : input.rows) {
-        auto& known_row = rows_[row.key];
-        if (row.row_version > known_row.row_version) {
-            changed_rows.push_back(make_row_delta(known_row, row));
-            known_row = row;
-        } else {
-            log_older_row(known_row, row, "store");
-        }
-    }
-    read_up_to_ = std::max(read_up_to_, input.read_up_to);
-    const bool has_changes = !changed_rows.empty();
+    std::vector<mesh_wire::operator_row> removed;
+    auto changes = operator_rows_.read(input, removed);
+    if (!removed.empty()) {
+        effects_.emplace_back(apply_rows{std::move(removed), input.read_up_to});
+    }
+    log_dropped_rows(changes.dropped, "store");
+    store_era_ = std::max(store_era_, operator_rows_.read_up_to().era());
+    const bool has_changes = !changes.deltas.empty();
     if (!is_sole_reader) {
-        std::erase_if(changed_rows,
+        std::erase_if(changes.deltas,
                       [](const auto& row) { return document_bytes({row}) > max_direct_bytes; });
     }
-    push_rows(changed_rows);
+    push_rows(changes.deltas);
     if (is_status_changed || has_changes) {
         // The state carries the configuration version, from which other zones learn of the change.
         broadcast_state();
     }
 }
 
-void node::log_older_row(const mesh_wire::operator_row& known,
-                         const mesh_wire::operator_row& dropped, const std::string& source)
+void node::handle(const store_restored& input)
 {
-    if (dropped.base_version != 0 || dropped.document == known.document) {
-        return;
-    }
-    ++counters_.older_rows;
-    log(log_level::warning, "row.older_dropped", "",
-        {{"key", dropped.key},
-         {"from", source},
-         {"row_version", std::to_string(dropped.row_version)},
-         {"known_version", std::to_string(known.row_version)}});
+    store_era_ = std::max(store_era_, input.era);
+    rollouts_.on_store_restored(input.era);
+    // The nodes that do not read the store learn of it from the state.
+    broadcast_state();
 }
 
-std::vector<mesh_wire::operator_row> node::remove_missing_rows(const rows_read& input)
+void node::enter_store_era(std::int64_t era)
 {
-    std::set<std::string> present;
-    for (const auto& row : input.rows) {
-        present.insert(row.key);
+    if (era > store_era_) {
+        store_era_ = era;
+        effects_.emplace_back(mesh::enter_store_era{era});
     }
-    apply_rows removed;
-    for (auto& [key, row] : rows_) {
-        if (row.row_version == 0 || row.removed || present.contains(key)) {
-            continue;
-        }
-        mesh_wire::operator_row tombstone;
-        tombstone.__set_key(key);
-        tombstone.__set_row_version(input.read_up_to);
-        tombstone.__set_removed(true);
-        row = tombstone;
-        removed.rows.push_back(std::move(tombstone));
-    }
-    auto result = removed.rows;
-    if (!result.empty()) {
-        removed.read_up_to = input.read_up_to;
-        effects_.emplace_back(std::move(removed));
+}
+
+void node::log_dropped_rows(const std::vector<operator_table::dropped_row>& rows,
+                            const std::string& source)
+{
+    counters_.older_rows += rows.size();
+    for (const auto& row : rows) {
+        log(log_level::warning, "row.older_dropped", "",
+            {{"key", row.key},
+             {"from", source},
+             {"row_version", std::to_string(row.row_version)},
+             {"known_version", std::to_string(row.known_version)}});
     }
-    return result;
 }
 
 void node::on_rows_push(link_id, const mesh_wire::rows_push& frame)
@@ -719,24 +646,11 @@
         relay_targets.emplace_back(name);
     }
     relay_rows(frame, relay_targets);
-    apply_rows command;
-    for (const auto& row : frame.rows) {
-        auto& known_row = rows_[row.key];
-        if (row.row_version <= known_row.row_version) {
-            log_older_row(known_row, row, "peer");
-            continue;
-        }
-        // A delta against a version that this node does not hold is dropped; the node pulls the
-        // whole row.
-        if (const auto resolved = resolve_row(known_row, row)) {
-            known_row = *resolved;
-            command.rows.push_back(known_row);
-        }
-    }
-    read_up_to_ = std::max(read_up_to_, frame.read_up_to);
-    if (!command.rows.empty()) {
-        command.read_up_to = read_up_to_;
-        effects_.emplace_back(std::move(command));
+    auto changes = operator_rows_.receive(frame);
+    log_dropped_rows(changes.dropped, "peer");
+    if (!changes.rows.empty()) {
+        effects_.emplace_back(
+            apply_rows{std::move(changes.rows), operator_rows_.read_up_to().packed()});
     }
 }
 
@@ -755,13 +669,8 @@
     }
     next_pull_answer_ = now_ + pull_answer_interval;
     mesh_wire::rows_push answer;
-    for (const auto& [key, row] : rows_) {
-        if (row.row_version > 0) {
-            answer.rows.push_back(row);
-        }
-    }
-    answer.__set_read_up_to(read_up_to_);
-    answer.__isset.rows = true;
+    answer.__set_rows(operator_rows_.all());
+    answer.__set_read_up_to(operator_rows_.read_up_to().packed());
     log(log_level::info, "rows.pull_answered", "",
         {{"peers", std::to_string(pending_pulls_.size())},
          {"rows", std::to_string(answer.rows.size())},
@@ -779,7 +688,7 @@
         {{"rows", std::to_string(rows.size())}, {"bytes", std::to_string(document_bytes(rows))}});
     mesh_wire::rows_push push;
     push.__set_rows(rows);
-    push.__set_read_up_to(read_up_to_);
+    push.__set_read_up_to(operator_rows_.read_up_to().packed());
     if (document_bytes(rows) > max_direct_bytes) {
         std::vector<node_id> zone_peers;
         for (const auto& [name, remote] : peers_.all()) {
@@ -845,7 +754,7 @@
     ++counters_.late_reads;
     log(log_level::warning, "store.read_late", "",
         {{"age_ms", format_ms(now_ - *last_read_at_)},
-         {"read_up_to", std::to_string(read_up_to_)},
+         {"read_up_to", std::to_string(operator_rows_.read_up_to().version())},
          {"in_contact", store_fresh_ ? "true" : "false"}});
     broadcast_state();
 }
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -1,6 +1,8 @@
 // State of roll-outs, and the leader's decisions.
 #include "libmesh/rollouts.h"
 
+#include "libmesh/store_position.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -26,6 +28,9 @@
 constexpr auto max_failing_time = 3s;
 /// Delay before a failed write of a status is repeated.
 constexpr auto status_write_backoff = 500ms;
+/// Earlier orders of a service that are remembered: more than are given in the seconds by which a
+/// copy of the store is older.
+constexpr std::size_t max_superseded_orders = 8;
 
 /// Converts to the wall clock time that move_policy expects. The policy uses only differences, so
 /// the epoch of the node's monotonic clock does not matter.
@@ -34,6 +39,12 @@
     return wall_time(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()));
 }
 
+/// Version by which the store names the row of the order.
+std::int64_t version_in_store(const rollout_order& order)
+{
+    return store_position::from_packed(order.row_version).version();
+}
+
 move_spec make_move_spec(const rollout_view& view, const rollouts::limits& allowed)
 {
     move_spec out;
@@ -59,6 +70,15 @@
     if (order.row_version < view.order.row_version || (same && view.order_read)) {
         return false;
     }
+    if (!same && is_superseded(view, order)) {
+        return false;
+    }
+    if (!same && is_written_again(view, order)) {
+        follow_order(view, order.row_version);
+        const bool was_read = std::exchange(view.order_read, true);
+        view.order = order;
+        return !was_read;
+    }
     // Keeps the share, stage and start time of this order that other nodes reported.
     if (!same) {
         reset_for_order(view, order, now);
@@ -68,10 +88,57 @@
     return true;
 }
 
+bool rollouts::is_written_again(const rollout_view& view, const rollout_order& order)
+{
+    const auto known = store_position::from_packed(view.order.row_version);
+    const auto found = store_position::from_packed(order.row_version);
+    return known.version() > 0 && known.era() < found.era() && view.order.target == order.target &&
+           (!view.order_read || view.order.duration == order.duration);
+}
+
+bool rollouts::is_superseded(const rollout_view& view, const rollout_order& order)
+{
+    const auto found = store_position::from_packed(order.row_version);
+    return std::any_of(view.superseded.begin(), view.superseded.end(),
+                       [&](const rollout_order& earlier) {
+                           const auto known = store_position::from_packed(earlier.row_version);
+                           return known.era() < found.era() && known.version() == found.version() &&
+                                  earlier.target == order.target;
+                       });
+}
+
+void rollouts::on_store_restored(std::int64_t era)
+{
+    store_era_ = std::max(store_era_, era);
+    for (auto& [service, view] : views_) {
+        view.status_version = 0;
+    }
+}
+
+void rollouts::follow_order(rollout_view& view, std::int64_t row_version)
+{
+    if (const auto found = evaluations_.find(view.order.service);
+        found != evaluations_.end() && found->second.order == view.order.row_version) {
+        found->second.order = row_version;
+    }
+    view.order.row_version = row_version;
+    // The status in the store, if there is one, refers to the row by its earlier version.
+    view.running_status_written = false;
+    view.final_status_written = false;
+}
+
 void rollouts::reset_for_order(rollout_view& view, const rollout_order& order, time_point now)
 {
     const auto status_version = view.status_version;
+    auto superseded = std::move(view.superseded);
+    if (view.order.row_version > 0) {
+        superseded.push_back(view.order);
+    }
+    if (superseded.size() > max_superseded_orders) {
+        superseded.erase(superseded.begin());
+    }
     view = {};
+    view.superseded = std::move(superseded);
     view.order = order;
     view.status_version = status_version;
     view.started_at = now;
@@ -85,7 +152,7 @@
         return;
     }
     view.status_version = read.row_version;
-    if (view.order.row_version == 0 || read.status.order != view.order.row_version) {
+    if (view.order.row_version == 0 || read.status.order != version_in_store(view.order)) {
         return;
     }
     view.running_status_written = true;
@@ -104,7 +171,7 @@
         return;
     }
     view.status_version = std::max(view.status_version, written.row_version);
-    if (written.status.order != view.order.row_version) {
+    if (written.status.order != version_in_store(view.order)) {
         return;
     }
     view.running_status_written = true;
@@ -128,7 +195,15 @@
         order.service = service_id{frame.service_name};
         order.target = release_id{frame.target};
         order.row_version = frame.order;
-        reset_for_order(view, order, now);
+        order.duration = view.order.duration;
+        if (is_superseded(view, order)) {
+            return false;
+        }
+        if (is_written_again(view, order)) {
+            follow_order(view, frame.order);
+        } else {
+            reset_for_order(view, order, now);
+        }
     }
     view.started_at = std::min<time_point>(view.started_at, now - milliseconds(frame.age_ms));
     const bool is_final = view.phase != rollout_phase::running;
@@ -507,13 +582,15 @@
 {
     const bool final_phase = view.phase != rollout_phase::running;
     const bool is_due = final_phase ? !view.final_status_written : !view.running_status_written;
-    if (!is_due || view.status_write_pending || now < view.next_status_write) {
+    const bool is_in_store =
+        store_position::from_packed(view.order.row_version).era() >= store_era_;
+    if (!is_due || !is_in_store || view.status_write_pending || now < view.next_status_write) {
         return;
     }
     view.status_write_pending = true;
     out.writes.push_back(
-        {{view.order.service, view.order.target, view.order.row_version, view.phase},
-         view.status_version});
+        {{view.order.service, view.order.target, version_in_store(view.order), view.phase},
+         store_position::from_packed(view.status_version).version()});
 }
 
 } // namespace camphor::mesh
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -35,13 +35,16 @@
     time_point started_at{};
     /// When the leader's last message arrived.
     time_point leader_heard_at{};
-    /// Version of the status row as last read or written.
+    /// Packed store_position of the status row as last read or written.
     std::int64_t status_version = 0;
     /// The store holds a status that refers to this order.
     bool running_status_written = false;
     /// The store holds the final status of this order.
     bool final_status_written = false;
     bool status_write_pending = false;
+    /// Earlier orders of the service, oldest first. A store that came back from a copy may hold one
+    /// of them again.
+    std::vector<rollout_order> superseded;
     /// Earliest time of the next attempt to write the status.
     time_point next_status_write{};
 };
@@ -52,6 +55,8 @@
 public:
     /// Processes an order read from the operators' rows. Returns true when it was not known yet.
     bool on_order(const rollout_order& order, time_point now);
+    /// The store came back from a copy: orders and statuses may be gone from it.
+    void on_store_restored(std::int64_t era);
     /// Processes a status row read from the store.
     void on_status(const rollout_status_read& read);
     /// Processes the result of a write requested by decide().
@@ -107,7 +112,7 @@
 private:
     /// Evidence of one roll-out, and the policy that evaluates it.
     struct evaluation {
-        /// Row version of the order.
+        /// Packed store_position of the order.
         std::int64_t order = 0;
         /// When this node began to collect evidence.
         time_point collecting_since{};
@@ -178,10 +183,19 @@
     /// Requests a write of the status when the store does not hold it.
     void request_status_write(rollout_view& view, time_point now, decisions& out);
     static mesh_wire::rollout_share make_share_frame(const rollout_view& view, time_point now);
+    /// Whether `order` is the known order, found again after the store came back from a copy.
+    static bool is_written_again(const rollout_view& view, const rollout_order& order);
+    /// Whether `order` is one that the known order has replaced.
+    static bool is_superseded(const rollout_view& view, const rollout_order& order);
+    /// Keeps the state of the roll-out, whose order has another row version now.
+    void follow_order(rollout_view& view, std::int64_t row_version);
     /// Replaces an earlier order of the service and resets the state of its roll-out.
     static void reset_for_order(rollout_view& view, const rollout_order& order, time_point now);
 
     std::map<service_id, rollout_view> views_;
+    /// Era of the store; 0 until it has come back from a copy. An order of an earlier era may be
+    /// gone from the store; its status is written once the order is there again.
+    std::int64_t store_era_ = 0;
     std::map<service_id, evaluation> evaluations_;
     std::map<outcome_key, outcome_counts> local_outcomes_;
 };
--- a/src/libshell/store_client.cpp
+++ b/src/libshell/store_client.cpp
@@ -7,8 +7,10 @@
 
 #include "libshell/store_client.h"
 #include "libshell/tcp_options.h"
+#include "platform/header_names.h"
 
 #include <algorithm>
+#include <charconv>
 #include <deque>
 #include <optional>
 #include <vector>
@@ -52,6 +54,15 @@
     return out;
 }
 
+/// 0 when the answer states no era.
+std::int64_t read_era(const http::fields& fields)
+{
+    const auto text = fields[platform::header::store_era];
+    std::int64_t era = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), era);
+    return error == std::errc{} && era > 0 ? era : 0;
+}
+
 } // namespace
 
 class store_client::implementation : public std::enable_shared_from_this<implementation> {
@@ -258,7 +269,9 @@
         auto& message = parser_->get();
         // Bytes behind the answer would be taken for the next one.
         const bool keep = parser_->keep_alive() && input_.size() == 0;
-        finish({static_cast<int>(message.result_int()), std::move(message.body()), "", true}, keep);
+        const auto era = read_era(message);
+        finish({static_cast<int>(message.result_int()), std::move(message.body()), "", true, era},
+               keep);
     }
 
     void count(std::size_t bytes)
--- a/src/libshell/store_client.h
+++ b/src/libshell/store_client.h
@@ -29,6 +29,8 @@
     std::string problem;
     /// The call may have been carried out although no answer came.
     bool was_sent = false;
+    /// How often the store had come back from a copy, as the answer states; 0 when it does not.
+    std::int64_t era = 0;
 };
 
 struct store_counters {
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -77,6 +77,7 @@
     void handle(const mesh::send_to_peer& effect) { peers_.send(effect); }
     void handle(const mesh::close_link& effect) { peers_.close(effect.link); }
     void handle(const mesh::set_store_reading& effect) { store_.set_following(effect.follow); }
+    void handle(const mesh::enter_store_era& effect) { store_.enter_era(effect.era); }
     void handle(const mesh::apply_rows& effect) { store_.decode_rows(effect); }
     void handle(const mesh::write_rollout_status& effect) { store_.write(effect); }
     void handle(const mesh::acknowledge_check_in& effect);
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -54,6 +54,7 @@
 
 void store_follower::set_address(const mesh::listen_address& store)
 {
+    whole_table_needed_ = false;
     call_client_.set_address(store);
     feed_client_.set_address(store);
 }
@@ -85,6 +86,39 @@
     on_log_({level, name, "", std::move(fields)});
 }
 
+void store_follower::call(shell::store_client& client, const platform::store_call& call,
+                          std::chrono::milliseconds limit, reply_handler done)
+{
+    client.call(call, limit, [this, done = std::move(done)](const shell::store_reply& reply) {
+        enter_era(reply.era);
+        done(reply);
+    });
+}
+
+void store_follower::enter_era(std::int64_t era)
+{
+    if (era <= era_) {
+        return;
+    }
+    const bool is_first = era_ == 0 && read_up_to_ == mesh::store_position{};
+    const auto before = std::exchange(era_, era);
+    if (is_first) {
+        return;
+    }
+    whole_table_needed_ = true;
+    log(log_level::warning, "store.restored",
+        {{"era", std::to_string(era)},
+         {"before", std::to_string(before)},
+         {"read_up_to", std::to_string(read_up_to_.version())}});
+    on_event_(mesh::store_restored{era});
+}
+
+mesh::store_position store_follower::position(const shell::store_reply& reply,
+                                              std::int64_t version) const
+{
+    return {reply.era > 0 ? reply.era : era_, version};
+}
+
 void store_follower::announce()
 {
     if (announce_pending_) {
@@ -99,10 +133,10 @@
     const auto row = platform::write_row(platform::node_table, own_record_.node,
                                          platform::write_node_row(own_record_, departures_.starts),
                                          own_row_version_);
-    call_client_.call(row, call_timeout,
-                      [this, revision = departures_.revision](const shell::store_reply& reply) {
-                          on_announced(reply, revision);
-                      });
+    call(call_client_, row, call_timeout,
+         [this, revision = departures_.revision](const shell::store_reply& reply) {
+             on_announced(reply, revision);
+         });
 }
 
 void store_follower::on_announced(const shell::store_reply& reply, std::int64_t revision)
@@ -178,22 +212,23 @@
 void store_follower::list_nodes_from_key(const std::string& first_key)
 {
     const auto call = platform::read_table(platform::node_table, {first_key, "", 0});
-    call_client_.call(call, call_timeout, [this, first_key](const shell::store_reply& reply) {
-        if (reply.status != shell::store_ok) {
-            retry_later(reply, &store_follower::list_nodes);
-            return;
-        }
-        try {
-            const auto answer = read_rows(reply);
-            report_nodes(answer.rows);
-            if (answer.truncated && answer.rows.size() > 1) {
-                // The next page starts with the last row of this one.
-                list_nodes_from_key(answer.rows.back().key);
-            }
-        } catch (const platform::bad_store_answer& error) {
-            retry_later({0, "", error.what(), true}, &store_follower::list_nodes);
-        }
-    });
+    this->call(call_client_, call, call_timeout,
+               [this, first_key](const shell::store_reply& reply) {
+                   if (reply.status != shell::store_ok) {
+                       retry_later(reply, &store_follower::list_nodes);
+                       return;
+                   }
+                   try {
+                       const auto answer = read_rows(reply);
+                       report_nodes(answer.rows);
+                       if (answer.truncated && answer.rows.size() > 1) {
+                           // The next page starts with the last row of this one.
+                           list_nodes_from_key(answer.rows.back().key);
+                       }
+                   } catch (const platform::bad_store_answer& error) {
+                       retry_later({0, "", error.what(), true}, &store_follower::list_nodes);
+                   }
+               });
 }
 
 platform::store_rows store_follower::read_rows(const shell::store_reply& reply)
@@ -220,27 +255,28 @@
 
 void store_follower::read_status()
 {
-    call_client_.call(
-        platform::read_table(platform::status_table), call_timeout,
-        [this](const shell::store_reply& reply) {
-            if (reply.status != shell::store_ok) {
-                retry_later(reply, &store_follower::read_status);
-                return;
-            }
-            try {
-                report_statuses(read_rows(reply).rows);
-            } catch (const platform::bad_store_answer& error) {
-                retry_later({0, "", error.what(), true}, &store_follower::read_status);
-            }
-        });
+    call(call_client_, platform::read_table(platform::status_table), call_timeout,
+         [this](const shell::store_reply& reply) {
+             if (reply.status != shell::store_ok) {
+                 retry_later(reply, &store_follower::read_status);
+                 return;
+             }
+             try {
+                 report_statuses(reply, read_rows(reply).rows);
+             } catch (const platform::bad_store_answer& error) {
+                 retry_later({0, "", error.what(), true}, &store_follower::read_status);
+             }
+         });
 }
 
-void store_follower::report_statuses(const std::vector<platform::store_row>& rows)
+void store_follower::report_statuses(const shell::store_reply& reply,
+                                     const std::vector<platform::store_row>& rows)
 {
     for (const auto& row : rows) {
         try {
             if (const auto status = platform::read_rollout_status(row.key, row.value)) {
-                on_event_(mesh::rollout_status_read{*status, row.version});
+                on_event_(
+                    mesh::rollout_status_read{*status, position(reply, row.version).packed()});
             }
         } catch (const platform::bad_row& error) {
             log(log_level::warning, "store.bad_row",
@@ -255,17 +291,22 @@
         return;
     }
     update_contact(false, reply);
-    const auto unbounded_backoff =
-        initial_backoff * (1 << std::min(consecutive_failures_, max_backoff_doublings));
-    const auto backoff_ceiling = std::min(unbounded_backoff, max_backoff);
-    std::uniform_int_distribution<std::int64_t> backoff(backoff_ceiling.count() / 2,
-                                                        backoff_ceiling.count());
     if (!following_feed_ &&
         (retry == &store_follower::read_operator_table || retry == &store_follower::poll_feed) &&
-        read_up_to_ > 0) {
+        read_up_to_.version() > 0) {
         feed_pending_ = false;
         return;
     }
+    start_backoff(retry);
+}
+
+void store_follower::start_backoff(void (store_follower::*retry)())
+{
+    const auto unbounded_backoff =
+        initial_backoff * (1 << std::min(consecutive_failures_, max_backoff_doublings));
+    const auto backoff_ceiling = std::min(unbounded_backoff, max_backoff);
+    std::uniform_int_distribution<std::int64_t> backoff(backoff_ceiling.count() / 2,
+                                                        backoff_ceiling.count());
     ++consecutive_failures_;
     timer_of(retry).start(std::chrono::milliseconds(backoff(random_)), [this, retry] {
         if (!stopped_) {
@@ -300,11 +341,12 @@
     }
     store_reachable_ = is_reachable;
     if (is_reachable) {
-        log(log_level::info, "store.regained", {{"read_up_to", std::to_string(read_up_to_)}});
+        log(log_level::info, "store.regained",
+            {{"read_up_to", std::to_string(read_up_to_.version())}});
     } else {
         log(log_level::warning, "store.lost",
             {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
-        on_event_(mesh::rows_read{{}, read_up_to_, false});
+        on_event_(mesh::rows_read{{}, read_up_to_.packed(), false});
     }
 }
 
@@ -320,12 +362,19 @@
     }
 }
 
-void store_follower::read_operator_table()
+void store_follower::note_feed_sent()
 {
     feed_pending_ = true;
     feed_sent_at_ = clock::now();
-    feed_client_.call(platform::read_table(platform::operator_table), call_timeout,
-                      [this](const shell::store_reply& reply) { on_rows(reply, true); });
+    feed_sent_in_era_ = era_;
+    feed_sent_at_position_ = read_up_to_;
+}
+
+void store_follower::read_operator_table()
+{
+    note_feed_sent();
+    call(feed_client_, platform::read_table(platform::operator_table), call_timeout,
+         [this](const shell::store_reply& reply) { on_rows(reply, true); });
 }
 
 void store_follower::poll_feed()
@@ -334,12 +383,11 @@
         feed_pending_ = false;
         return;
     }
-    feed_pending_ = true;
-    feed_sent_at_ = clock::now();
-    feed_client_.call(
-        platform::watch_table(platform::operator_table, read_up_to_, long_poll_timeout_),
-        long_poll_timeout_ + call_timeout,
-        [this](const shell::store_reply& reply) { on_rows(reply, false); });
+    note_feed_sent();
+    call(feed_client_,
+         platform::watch_table(platform::operator_table, read_up_to_.version(), long_poll_timeout_),
+         long_poll_timeout_ + call_timeout,
+         [this](const shell::store_reply& reply) { on_rows(reply, false); });
 }
 
 void store_follower::on_rows(const shell::store_reply& reply, bool whole_table)
@@ -348,67 +396,103 @@
         return;
     }
     if (reply.status == shell::store_history_gone && !whole_table) {
-        ++histories_gone_;
-        log(log_level::info, "store.history_gone", {{"read_up_to", std::to_string(read_up_to_)}});
-        read_operator_table();
+        on_history_gone();
         return;
     }
+    const auto retry =
+        whole_table ? &store_follower::read_operator_table : &store_follower::poll_feed;
     if (reply.status != shell::store_ok) {
-        retry_later(reply, whole_table ? &store_follower::read_operator_table
-                                       : &store_follower::poll_feed);
+        retry_later(reply, retry);
+        return;
+    }
+    if (!whole_table && whole_table_needed_) {
+        read_operator_table();
         return;
     }
     try {
-        const auto answer = read_rows(reply);
-        mesh::rows_read event;
-        bool has_order = false;
-        for (const auto& row : answer.rows) {
-            mesh_wire::operator_row wire_row;
-            wire_row.__set_key(row.key);
-            wire_row.__set_row_version(row.version);
-            wire_row.__set_document(row.value);
-            wire_row.__set_removed(row.removed);
-            has_order = decode_row(wire_row) || has_order;
-            event.rows.push_back(std::move(wire_row));
-        }
-        if (answer.store_version < read_up_to_) {
-            log(log_level::warning, "store.version_decreased",
-                {{"stated", std::to_string(answer.store_version)},
-                 {"read_up_to", std::to_string(read_up_to_)},
-                 {"whole_table", whole_table ? "true" : "false"}});
-        }
-        read_up_to_ = std::max(read_up_to_, answer.store_version);
-        event.read_up_to = read_up_to_;
-        event.fresh = true;
-        event.whole_table = whole_table;
-        feed_answered_at_ = clock::now();
-        update_contact(true, reply);
-        if (!event.rows.empty()) {
-            log(log_level::info, "store.rows_read",
-                {{"rows", std::to_string(event.rows.size())},
-                 {"read_up_to", std::to_string(read_up_to_)},
-                 {"waited_ms", mesh::format_ms(feed_answered_at_ - feed_sent_at_)}});
-        }
-        on_event_(std::move(event));
-        if (whole_table && has_order) {
-            // The roll-out order may already be finished: the status table holds its outcome.
-            read_status();
-        }
+        report_rows(reply, read_rows(reply), whole_table);
     } catch (const platform::bad_store_answer& error) {
-        retry_later({0, "", error.what(), true}, whole_table ? &store_follower::read_operator_table
-                                                             : &store_follower::poll_feed);
+        retry_later({0, "", error.what(), true}, retry);
         return;
     }
-    poll_feed();
+    if (whole_table_needed_) {
+        start_backoff(&store_follower::read_operator_table);
+    } else {
+        poll_feed();
+    }
 }
 
-bool store_follower::decode_row(const mesh_wire::operator_row& row)
+void store_follower::on_history_gone()
+{
+    ++histories_gone_;
+    log(log_level::info, "store.history_gone",
+        {{"read_up_to", std::to_string(read_up_to_.version())}});
+    // The history may be gone again by the time that the whole table has been read.
+    if (histories_gone_in_a_row_++ == 0) {
+        read_operator_table();
+    } else {
+        consecutive_failures_ = std::max(consecutive_failures_, histories_gone_in_a_row_ - 2);
+        start_backoff(&store_follower::read_operator_table);
+    }
+}
+
+void store_follower::report_rows(const shell::store_reply& reply,
+                                 const platform::store_rows& answer, bool whole_table)
+{
+    const bool decreased = answer.store_version < feed_sent_at_position_.version();
+    if (decreased) {
+        log(log_level::warning, "store.version_decreased",
+            {{"stated", std::to_string(answer.store_version)},
+             {"read_up_to", std::to_string(feed_sent_at_position_.version())},
+             {"whole_table", whole_table ? "true" : "false"}});
+    }
+    if (decreased && whole_table && reply.era == 0 && feed_sent_in_era_ == era_) {
+        // The store states no era, but only a store that came back from a copy goes back.
+        enter_era(era_ + 1);
+        feed_sent_in_era_ = era_;
+    }
+    const auto era = reply.era > 0 ? reply.era : feed_sent_in_era_;
+    mesh::rows_read event;
+    bool has_order = false;
+    for (const auto& row : answer.rows) {
+        mesh_wire::operator_row wire_row;
+        wire_row.__set_key(row.key);
+        wire_row.__set_row_version(mesh::store_position(era, row.version).packed());
+        wire_row.__set_document(row.value);
+        wire_row.__set_removed(row.removed);
+        has_order = decode_row(wire_row) || has_order;
+        event.rows.push_back(std::move(wire_row));
+    }
+    const mesh::store_position read_up_to(era, answer.store_version);
+    read_up_to_ = whole_table ? read_up_to : std::max(read_up_to_, read_up_to);
+    whole_table_needed_ = whole_table_needed_ && era < era_;
+    histories_gone_in_a_row_ = whole_table ? histories_gone_in_a_row_ : 0;
+    event.read_up_to = read_up_to_.packed();
+    event.fresh = true;
+    event.whole_table = whole_table;
+    feed_answered_at_ = clock::now();
+    update_contact(true, reply);
+    if (!event.rows.empty()) {
+        log(log_level::info, "store.rows_read",
+            {{"rows", std::to_string(event.rows.size())},
+             {"read_up_to", std::to_string(read_up_to_.version())},
+             {"waited_ms", mesh::format_ms(feed_answered_at_ - feed_sent_at_)}});
+    }
+    on_event_(std::move(event));
+    if (whole_table && has_order) {
+        // The roll-out order may already be finished: the status table holds its outcome.
+        read_status();
+    }
+}
+
+bool store_follower::decode_row(mesh_wire::operator_row& row)
 {
     try {
         auto document = row.removed
                             ? platform::read_removed_row(row.key, row.row_version)
                             : platform::read_operator_row(row.key, row.document, row.row_version);
         if (auto* config = std::get_if<mesh::config_read>(&document)) {
+            row.__set_config_version(config->config->version().value());
             on_event_(std::move(*config));
         } else if (auto* rollout_order = std::get_if<mesh::rollout_order_read>(&document)) {
             on_event_(std::move(*rollout_order));
@@ -424,10 +508,12 @@
 
 void store_follower::decode_rows(const mesh::apply_rows& effect)
 {
-    for (const auto& row : effect.rows) {
+    for (auto row : effect.rows) {
         decode_row(row);
     }
-    read_up_to_ = std::max(read_up_to_, effect.read_up_to);
+    const auto read_up_to = mesh::store_position::from_packed(effect.read_up_to);
+    enter_era(read_up_to.era());
+    read_up_to_ = std::max(read_up_to_, read_up_to);
 }
 
 void store_follower::write(const mesh::write_rollout_status& effect)
@@ -435,13 +521,14 @@
     const auto row = platform::write_row(
         platform::status_table, platform::rollout_status_key(effect.status.service),
         platform::write_rollout_status(effect.status), effect.expected_version);
-    call_client_.call(row, call_timeout, [this, effect](const shell::store_reply& reply) {
+    call(call_client_, row, call_timeout, [this, effect](const shell::store_reply& reply) {
         using outcome = mesh::rollout_status_written::outcome;
         mesh::rollout_status_written event;
         event.status = effect.status;
         if (reply.status == shell::store_ok) {
             event.result = outcome::written;
-            event.row_version = platform::read_written_version(reply.body);
+            event.row_version =
+                position(reply, platform::read_written_version(reply.body)).packed();
         } else if (reply.status == shell::store_conflict) {
             event.result = outcome::conflict;
             read_status();
@@ -462,19 +549,18 @@
 
 void store_follower::read_crashes()
 {
-    call_client_.call(
-        platform::read_table(platform::crash_table), call_timeout,
-        [this](const shell::store_reply& reply) {
-            mesh::crashes_read event;
-            if (reply.status == shell::store_ok) {
-                event.done = true;
-                event.report = decode_crashes(reply);
-            } else {
-                log(log_level::info, "suspects.not_read",
-                    {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
-            }
-            on_event_(std::move(event));
-        });
+    call(call_client_, platform::read_table(platform::crash_table), call_timeout,
+         [this](const shell::store_reply& reply) {
+             mesh::crashes_read event;
+             if (reply.status == shell::store_ok) {
+                 event.done = true;
+                 event.report = decode_crashes(reply);
+             } else {
+                 log(log_level::info, "suspects.not_read",
+                     {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
+             }
+             on_event_(std::move(event));
+         });
 }
 
 mesh_wire::crash_report store_follower::decode_crashes(const shell::store_reply& reply)
@@ -503,7 +589,7 @@
     const auto row = platform::write_row(
         platform::crash_table, own_record_.node,
         platform::write_crash_row(effect.report, std::chrono::system_clock::now()));
-    call_client_.call(row, call_timeout, [this](const shell::store_reply& reply) {
+    call(call_client_, row, call_timeout, [this](const shell::store_reply& reply) {
         if (reply.status != shell::store_ok) {
             log(log_level::warning, "suspects.not_written",
                 {{"status", std::to_string(reply.status)}, {"reason", reply.problem}});
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "libmesh/messages.h"
+#include "libmesh/store_position.h"
 #include "libshell/cancellable_timer.h"
 #include "libshell/store_client.h"
 
@@ -23,9 +24,9 @@
     using event_handler = std::function<void(mesh::event)>;
 
     /// Reports departures_read, departures_stored, nodes_listed, config_read, order_read,
-    /// rollout_status_read, rollout_status_written, rows_read, crashes_read and crashes_written to
-    /// `on_event`. `on_log` receives log lines, such as those on lost and regained contact and on
-    /// unreadable rows. `seed` initialises the random backoff jitter.
+    /// rollout_status_read, rollout_status_written, rows_read, store_restored, crashes_read and
+    /// crashes_written to `on_event`. `on_log` receives log lines, such as those on lost and
+    /// regained contact and on unreadable rows. `seed` initialises the random backoff jitter.
     store_follower(boost::asio::io_context& io, const mesh::listen_address& store,
                    mesh_wire::node_record own_record, std::chrono::milliseconds long_poll_timeout,
                    event_handler on_event, std::function<void(mesh::log_line)> on_log,
@@ -39,6 +40,8 @@
     /// Whether this node reads the operators' rows from the store itself or gets them only from
     /// other nodes.
     void set_following(bool enabled);
+    /// Another node knows that the store has come back from a copy.
+    void enter_era(std::int64_t era);
     /// Decodes operators' rows that another node has read from the store.
     void decode_rows(const mesh::apply_rows& effect);
     /// Writes the status if its row still has the expected version; reports rollout_status_written.
@@ -60,6 +63,12 @@
 private:
     using clock = std::chrono::steady_clock;
 
+    using reply_handler = std::function<void(const shell::store_reply&)>;
+    /// Calls the store; `done` gets the answer after its era has been noted.
+    void call(shell::store_client& client, const platform::store_call& call,
+              std::chrono::milliseconds limit, reply_handler done);
+    /// Position of a row that an answer states.
+    mesh::store_position position(const shell::store_reply& reply, std::int64_t version) const;
     /// Writes the row of this node.
     void announce();
     void on_announced(const shell::store_reply& reply, std::int64_t revision);
@@ -75,17 +84,26 @@
     platform::store_rows read_rows(const shell::store_reply& reply);
     mesh_wire::crash_report decode_crashes(const shell::store_reply& reply);
     void report_nodes(const std::vector<platform::store_row>& rows);
-    void report_statuses(const std::vector<platform::store_row>& rows);
+    void report_statuses(const shell::store_reply& reply,
+                         const std::vector<platform::store_row>& rows);
+    void note_feed_sent();
     void read_operator_table();
     void read_status();
     void poll_feed();
     void on_rows(const shell::store_reply& reply, bool whole_table);
+    void on_history_gone();
+    /// Decodes and reports the rows, and sets where the next read goes on.
+    void report_rows(const shell::store_reply& reply, const platform::store_rows& answer,
+                     bool whole_table);
+    /// Calls `retry` after a random delay within the current ceiling, which doubles.
+    void start_backoff(void (store_follower::*retry)());
     /// Calls `retry` after the backoff. Reads of the operators' rows are not retried while other
     /// nodes read them for this one, once a first read has succeeded.
     void retry_later(const shell::store_reply& reply, void (store_follower::*retry)());
     shell::cancellable_timer& timer_of(void (store_follower::*retry)());
-    /// Decodes and reports one operators' row. Returns whether the row holds a roll-out order.
-    bool decode_row(const mesh_wire::operator_row& row);
+    /// Decodes and reports one operators' row and states the number of its configuration in it.
+    /// Returns whether the row holds a roll-out order.
+    bool decode_row(mesh_wire::operator_row& row);
     /// Logs when the store becomes reachable or unreachable, and resets the backoff.
     void update_contact(bool is_reachable, const shell::store_reply& reply);
     void log(log_level level, const std::string& name, mesh::log_fields fields);
@@ -112,13 +130,22 @@
     event_handler on_event_;
     std::function<void(mesh::log_line)> on_log_;
     std::mt19937_64 random_;
-    /// High-water mark: the newest store version up to which the operators' rows were read.
-    std::int64_t read_up_to_ = 0;
+    /// Up to where the operators' rows were read. A read of the whole table sets it, also to a
+    /// lower version.
+    mesh::store_position read_up_to_;
+    /// Latest known era of the store; 0 before the first answer and when the store states none.
+    std::int64_t era_ = 0;
+    /// Changes may have been missed: the next read is one of the whole table.
+    bool whole_table_needed_ = false;
+    /// Reads in a row whose history was gone.
+    int histories_gone_in_a_row_ = 0;
     std::uint64_t histories_gone_ = 0;
     bool following_feed_ = true;
     bool feed_pending_ = false;
-    /// When the latest read of the operators' rows was sent.
+    /// When the latest read of the operators' rows was sent, and what was known of the store then.
     clock::time_point feed_sent_at_;
+    std::int64_t feed_sent_in_era_ = 0;
+    mesh::store_position feed_sent_at_position_;
     clock::time_point feed_answered_at_ = clock::now();
     bool store_reachable_ = false;
     int consecutive_failures_ = 0;
--- a/src/libsidecar/store_follower_test.cpp
+++ b/src/libsidecar/store_follower_test.cpp
@@ -79,6 +79,9 @@
         if (const auto* stored = std::get_if<mesh::departures_stored>(&event)) {
             stored_revision = stored->revision;
         }
+        if (const auto* config = std::get_if<mesh::config_read>(&event)) {
+            config_version = config->config->version().value();
+        }
         answered_reads += std::holds_alternative<mesh::rows_read>(event) ? 1 : 0;
         rows_were_read = rows_were_read || std::holds_alternative<mesh::rows_read>(event);
         const auto* status = std::get_if<mesh::rollout_status_read>(&event);
@@ -109,6 +112,27 @@
         shell::test::run_until(io, [&] { return done(*this); });
     }
 
+    void control(const std::string& target, const std::string& body = "")
+    {
+        service.handle({"PUT", "/control/" + target, {}, body},
+                       std::make_shared<discarding_exchange>());
+    }
+
+    /// Writes configurations one after the other and waits until the newest is reported.
+    void write_configs(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            control(
+                "row?table=op&key=config",
+                R"({"version":"r)" + std::to_string(++written_version) +
+                    R"(","routes":{"columns":[],"rows":[]},"services":{"columns":[],"rows":[]}})");
+        }
+        run_until([](const store_fixture& fixture) {
+            return fixture.config_version == fixture.written_version;
+        });
+        BOOST_TEST(config_version == written_version);
+    }
+
     static constexpr std::size_t rows_per_transaction = 90;
     boost::asio::io_context io{1};
     std::uint16_t port = shell::test::free_port();
@@ -124,6 +148,8 @@
     int departures_reads = 0;
     backend_start_list departed;
     std::int64_t stored_revision = -1;
+    std::int64_t config_version = 0;
+    std::int64_t written_version = 0;
     /// Number of rows_read events.
     int answered_reads = 0;
     store_follower follower;
@@ -231,4 +257,45 @@
     BOOST_TEST(store.answered_reads >= min_reads);
 }
 
+struct restored_case {
+    const char* name;
+    /// The store states its era in its answers.
+    bool states_era;
+    /// Configurations that are lost, and that are written after the store has come back.
+    int lost;
+    int written;
+};
+
+std::ostream& operator<<(std::ostream& out, const restored_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<restored_case> restored_cases{
+    {"versions stay below the lost ones", true, 9, 2},
+    {"versions pass the lost ones", true, 2, 9},
+    {"nothing lost", true, 0, 2},
+    {"no era stated, versions stay below the lost ones", false, 9, 2},
+};
+
+// Guards against reads without a pause from a version that the store does not have, and against
+// configurations that are missed.
+BOOST_DATA_TEST_CASE(follows_a_store_that_came_back_from_a_copy,
+                     boost::unit_test::data::make(restored_cases), sample)
+{
+    store_fixture store({}, false, std::chrono::milliseconds(200));
+    store.service.set_states_era(sample.states_era);
+    store.write_configs(1);
+    BOOST_TEST(store.nodes_announced());
+    store.control("copy");
+    store.write_configs(sample.lost);
+    const auto calls_before = store.follower.counters().calls;
+    store.control("restore");
+    store.write_configs(sample.written);
+    // Two reads of the whole table, the poll before and two after it, and the node's own row.
+    constexpr std::uint64_t max_calls = 8;
+    BOOST_TEST(store.follower.counters().calls <= calls_before + max_calls);
+    BOOST_TEST(store.follower.histories_gone() <= 1U);
+}
+
 } // namespace camphor::sidecar
--- a/src/standins/platform_service.cpp
+++ b/src/standins/platform_service.cpp
@@ -101,7 +101,9 @@
 
 void platform_service::answer(const http_exchange_ptr& reply, http_response response) const
 {
-    response.headers.emplace_back("Store-Era", std::to_string(era_));
+    if (states_era_) {
+        response.headers.emplace_back("Store-Era", std::to_string(era_));
+    }
     reply->answer(std::move(response));
 }
 
--- a/src/standins/platform_service.h
+++ b/src/standins/platform_service.h
@@ -57,6 +57,8 @@
     platform_service(boost::asio::io_context& io, std::uint64_t seed) : io_(io), random_(seed) {}
 
     void handle(const http_request& request, const http_exchange_ptr& reply);
+    /// Whether answers state how often the store came back from a copy; they do by default.
+    void set_states_era(bool states_era) { states_era_ = states_era; }
 
 private:
     using clock = std::chrono::steady_clock;
@@ -114,6 +116,7 @@
     platform_table copy_;
     /// Value of the header Store-Era; rises with each return from a copy.
     std::int64_t era_ = 1;
+    bool states_era_ = true;
     std::map<std::uint64_t, waiting_feed> feeds_;
     std::uint64_t last_feed_id_ = 0;
     std::mt19937_64 random_;
--- a/src/thrift/gen-cpp/mesh_types.cpp
+++ b/src/thrift/gen-cpp/mesh_types.cpp
@@ -1533,6 +1533,10 @@
 void node_state::__set_reads_late(const bool val) {
   this->reads_late = val;
 }
+
+void node_state::__set_store_era(const int64_t val) {
+  this->store_era = val;
+}
 std::ostream& operator<<(std::ostream& out, const node_state& obj)
 {
   obj.printTo(out);
@@ -1633,6 +1637,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_era);
+          this->__isset.store_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1687,6 +1699,10 @@
   xfer += oprot->writeI32(this->lends_for_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_era", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->store_era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1703,6 +1719,7 @@
   swap(a.config_version, b.config_version);
   swap(a.store_fresh, b.store_fresh);
   swap(a.reads_late, b.reads_late);
+  swap(a.store_era, b.store_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -1716,6 +1733,7 @@
   config_version = other25.config_version;
   store_fresh = other25.store_fresh;
   reads_late = other25.reads_late;
+  store_era = other25.store_era;
   __isset = other25.__isset;
 }
 node_state::node_state(node_state&& other26) noexcept {
@@ -1728,6 +1746,7 @@
   config_version = other26.config_version;
   store_fresh = other26.store_fresh;
   reads_late = other26.reads_late;
+  store_era = other26.store_era;
   __isset = other26.__isset;
 }
 node_state& node_state::operator=(const node_state& other27) {
@@ -1740,6 +1759,7 @@
   config_version = other27.config_version;
   store_fresh = other27.store_fresh;
   reads_late = other27.reads_late;
+  store_era = other27.store_era;
   __isset = other27.__isset;
   return *this;
 }
@@ -1753,6 +1773,7 @@
   config_version = other28.config_version;
   store_fresh = other28.store_fresh;
   reads_late = other28.reads_late;
+  store_era = other28.store_era;
   __isset = other28.__isset;
   return *this;
 }
@@ -1768,6 +1789,7 @@
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "store_fresh=" << to_string(store_fresh);
   out << ", " << "reads_late=" << to_string(reads_late);
+  out << ", " << "store_era=" << to_string(store_era);
   out << ")";
 }
 
@@ -1948,6 +1970,10 @@
 void operator_row::__set_digest(const int64_t val) {
   this->digest = val;
 }
+
+void operator_row::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const operator_row& obj)
 {
   obj.printTo(out);
@@ -2044,6 +2070,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2097,6 +2131,10 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2111,6 +2149,7 @@
   swap(a.base_version, b.base_version);
   swap(a.parts, b.parts);
   swap(a.digest, b.digest);
+  swap(a.config_version, b.config_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2122,6 +2161,7 @@
   base_version = other39.base_version;
   parts = other39.parts;
   digest = other39.digest;
+  config_version = other39.config_version;
   __isset = other39.__isset;
 }
 operator_row::operator_row(operator_row&& other40) noexcept {
@@ -2132,6 +2172,7 @@
   base_version = other40.base_version;
   parts = std::move(other40.parts);
   digest = other40.digest;
+  config_version = other40.config_version;
   __isset = other40.__isset;
 }
 operator_row& operator_row::operator=(const operator_row& other41) {
@@ -2142,6 +2183,7 @@
   base_version = other41.base_version;
   parts = other41.parts;
   digest = other41.digest;
+  config_version = other41.config_version;
   __isset = other41.__isset;
   return *this;
 }
@@ -2153,6 +2195,7 @@
   base_version = other42.base_version;
   parts = std::move(other42.parts);
   digest = other42.digest;
+  config_version = other42.config_version;
   __isset = other42.__isset;
   return *this;
 }
@@ -2166,6 +2209,7 @@
   out << ", " << "base_version=" << to_string(base_version);
   out << ", " << "parts=" << to_string(parts);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "config_version=" << to_string(config_version);
   out << ")";
 }
 
--- a/src/thrift/gen-cpp/mesh_types.h
+++ b/src/thrift/gen-cpp/mesh_types.h
@@ -626,7 +626,7 @@
 std::ostream& operator<<(std::ostream& out, const backend_report& obj);
 
 typedef struct _node_state__isset {
-  _node_state__isset() : sender(false), revision(false), backend(false), load(false), stopping(false), lends_for_ms(false), config_version(false), store_fresh(false), reads_late(false) {}
+  _node_state__isset() : sender(false), revision(false), backend(false), load(false), stopping(false), lends_for_ms(false), config_version(false), store_fresh(false), reads_late(false), store_era(false) {}
   bool sender :1;
   bool revision :1;
   bool backend :1;
@@ -636,6 +636,7 @@
   bool config_version :1;
   bool store_fresh :1;
   bool reads_late :1;
+  bool store_era :1;
 } _node_state__isset;
 
 class node_state : public virtual ::apache::thrift::TBase {
@@ -651,7 +652,8 @@
                lends_for_ms(0),
                config_version(0),
                store_fresh(0),
-               reads_late(0) {
+               reads_late(0),
+               store_era(0) {
   }
 
   virtual ~node_state() noexcept;
@@ -664,6 +666,7 @@
   int64_t config_version;
   bool store_fresh;
   bool reads_late;
+  int64_t store_era;
 
   _node_state__isset __isset;
 
@@ -685,6 +688,8 @@
 
   void __set_reads_late(const bool val);
 
+  void __set_store_era(const int64_t val);
+
   bool operator == (const node_state & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -707,6 +712,8 @@
       return false;
     if (!(reads_late == rhs.reads_late))
       return false;
+    if (!(store_era == rhs.store_era))
+      return false;
     return true;
   }
   bool operator != (const node_state &rhs) const {
@@ -785,7 +792,7 @@
 std::ostream& operator<<(std::ostream& out, const document_part& obj);
 
 typedef struct _operator_row__isset {
-  _operator_row__isset() : key(false), row_version(false), document(false), removed(false), base_version(false), parts(false), digest(false) {}
+  _operator_row__isset() : key(false), row_version(false), document(false), removed(false), base_version(false), parts(false), digest(false), config_version(false) {}
   bool key :1;
   bool row_version :1;
   bool document :1;
@@ -793,6 +800,7 @@
   bool base_version :1;
   bool parts :1;
   bool digest :1;
+  bool config_version :1;
 } _operator_row__isset;
 
 class operator_row : public virtual ::apache::thrift::TBase {
@@ -808,7 +816,8 @@
                  document(),
                  removed(0),
                  base_version(0),
-                 digest(0) {
+                 digest(0),
+                 config_version(0) {
   }
 
   virtual ~operator_row() noexcept;
@@ -819,6 +828,7 @@
   int64_t base_version;
   std::vector<document_part>  parts;
   int64_t digest;
+  int64_t config_version;
 
   _operator_row__isset __isset;
 
@@ -836,6 +846,8 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_config_version(const int64_t val);
+
   bool operator == (const operator_row & rhs) const
   {
     if (!(key == rhs.key))
@@ -852,6 +864,8 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (!(config_version == rhs.config_version))
+      return false;
     return true;
   }
   bool operator != (const operator_row &rhs) const {
--- a/src/thrift/mesh.thrift
+++ b/src/thrift/mesh.thrift
@@ -109,6 +109,8 @@
   7: bool store_fresh
   // True while a read of the store by the sender exceeds its time limit.
   8: bool reads_late
+  // Latest era of the store that the sender knows; rises when the store comes back from a copy.
+  10: i64 store_era
 }
 
 // One part of a delta: the pieces [first, first + count) of the base document, followed by the
@@ -122,6 +124,7 @@
 // An operator's row as held in the store.
 struct operator_row {
   1: string key
+  // Packed store_position of the write.
   2: i64 row_version
   // The whole document. Empty for a deleted row, and when `parts` hold a delta.
   3: binary document
@@ -131,11 +134,13 @@
   6: list<document_part> parts
   // Hash of the whole document that results from applying `parts`.
   7: i64 digest
+  // Number of the configuration that the document holds; 0 for other rows.
+  8: i64 config_version
 }
 
 struct rows_push {
   1: list<operator_row> rows
-  // Newest version of the store that the sender has read.
+  // Packed store_position up to which the sender knows the rows.
   2: i64 read_up_to
   // Names of the nodes to which the receiver relays the frame.
   3: list<string> relay_to
@@ -167,7 +172,7 @@
 struct rollout_share {
   1: string service_name
   2: string target
-  // Version of the row with the roll-out order.
+  // Packed store_position of the roll-out order.
   3: i64 order
   // Of two frames about the same order, one with a final phase takes precedence; otherwise the one
   // with the larger sequence.
