Write again what the store lost when it came back from a copy

What callers saw: nothing yet in the record. An acknowledged departure, a node's address, a quarantine or a status of a roll-out was gone from the store for good, so that after a restart of all nodes a backend server that had left was used again and new nodes did not find some of the others. Cause: a node wrote its row on change only and believed that the store keeps what it has acknowledged. Change: in a new era each node writes its row, departures included, and then lists the others; the leader writes the quarantine and the statuses of roll-outs again.

--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -614,6 +614,7 @@
 {
     store_era_ = std::max(store_era_, input.era);
     rollouts_.on_store_restored(input.era);
+    stored_quarantine_.clear();
     // The nodes that do not read the store learn of it from the state.
     broadcast_state();
 }
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -111,6 +111,13 @@
          {"before", std::to_string(before)},
          {"read_up_to", std::to_string(read_up_to_.version())}});
     on_event_(mesh::store_restored{era});
+    // The node's row may be gone, as may those of nodes that have not listed this one.
+    nodes_listed_ = false;
+    if (announce_pending_) {
+        announce_again_ = true;
+    } else {
+        start_backoff(&store_follower::announce);
+    }
 }
 
 mesh::store_position store_follower::position(const shell::store_reply& reply,
@@ -172,7 +179,11 @@
 {
     own_row_version_ = std::nullopt;
     try {
-        for (const auto& row : read_rows(reply).rows) {
+        const auto answer = read_rows(reply);
+        if (answer.rows.empty() && answer.unreadable.empty()) {
+            own_row_version_ = 0;
+        }
+        for (const auto& row : answer.rows) {
             if (row.key != own_record_.node) {
                 continue;
             }
--- a/src/libsidecar/store_follower.h
+++ b/src/libsidecar/store_follower.h
@@ -125,6 +125,8 @@
     /// The row has to be written again, since departures_ has changed.
     bool announce_again_ = false;
     bool departures_reported_ = false;
+    /// The nodes were listed after this node's row had been written. Of two nodes, the one that
+    /// writes its row later finds the other's.
     bool nodes_listed_ = false;
     std::chrono::milliseconds long_poll_timeout_;
     event_handler on_event_;
