Reject an answer whose connection was reset during the upload

What callers saw (MIXED): an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The client got that part as a complete answer. Cause: the system reports a reset once. The write of the upload took the report, so that the read saw an orderly end, which is how an answer without a length ends. Change: an answer that ends with its connection is broken when the write of its request failed.

--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -188,6 +188,9 @@
     std::string output_;
     bool closed_ = false;
     bool writing_ = false;
+    /// The connection broke while the request was written. The system reports that once: reads see
+    /// an orderly end afterwards.
+    bool write_failed_ = false;
     bool answered_ = false;
     int stray_answers_ = 0;
     int interim_answers_ = 0;
@@ -300,12 +303,14 @@
     stray_answers_ = 0;
     interim_answers_ = 0;
     writing_ = true;
+    write_failed_ = false;
     const std::array<asio::const_buffer, 2> message{asio::buffer(output_),
                                                     asio::buffer(content.body)};
     asio::async_write(
         socket_, message,
         [self = shared_from_this(), kept = request_.content](error_code error, std::size_t) {
             self->writing_ = false;
+            self->write_failed_ = bool(error);
             // The pending read reports a failed write; it may still get an answer.
             if (!error && self->answered_ && !self->closed_) {
                 self->become_idle();
@@ -372,6 +377,10 @@
                             : mesh::backend_request_failure::broken);
         return;
     }
+    if (write_failed_ && parser_->need_eof()) {
+        fail(mesh::backend_request_failure::broken);
+        return;
+    }
     const auto& message = parser_->get();
     if (message.result_int() < 200) {
         if (++interim_answers_ > max_interim_answers) {
--- a/src/libsidecar/app_client_test.cpp
+++ b/src/libsidecar/app_client_test.cpp
@@ -28,7 +28,8 @@
 /// Longest answer that app_client accepts.
 constexpr std::size_t max_answer_bytes = 4ULL * 1024 * 1024;
 /// What the server does with the connection after its answer.
-enum class connection_end : std::uint8_t { kept, closed, reset };
+/// `half_closed`: it sends nothing more and reads nothing more.
+enum class connection_end : std::uint8_t { kept, closed, half_closed, reset };
 
 /// Answers the n-th request on the m-th connection with the n-th script of that connection.
 class scripted_server {
@@ -121,6 +122,11 @@
             read(to);
             return;
         }
+        if (to->current->end == connection_end::half_closed) {
+            to->socket.shutdown(tcp::socket::shutdown_send);
+            half_closed_.push_back(to);
+            return;
+        }
         if (to->current->end == connection_end::reset) {
             to->socket.set_option(asio::socket_base::linger(true, 0));
         }
@@ -128,6 +134,7 @@
     }
 
     std::vector<std::vector<script>> scripts_;
+    std::vector<std::shared_ptr<connection>> half_closed_;
     tcp::acceptor acceptor_;
     std::size_t connections_ = 0;
 };
@@ -365,6 +372,55 @@
 
 namespace {
 
+struct early_answer_case {
+    const char* name;
+    connection_end end;
+    bool is_complete;
+};
+
+std::ostream& operator<<(std::ostream& out, const early_answer_case& sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<early_answer_case> early_answer_cases{
+    {"reset", connection_end::reset, false},
+    {"ended in order", connection_end::half_closed, true},
+};
+
+} // namespace
+
+// Guards against the part of an answer that a client gets as the whole: the write of the upload
+// takes the error of the reset, so that the read sees an end in order.
+BOOST_DATA_TEST_CASE(an_answer_without_a_length_that_is_reset_during_the_upload_is_rejected,
+                     boost::unit_test::data::make(early_answer_cases) *
+                         boost::unit_test::data::make({1U, 2U}),
+                     sample, part_mode)
+{
+    // More than the kernel buffers, so that the upload is under way until the end.
+    constexpr std::size_t upload_bytes = 32ULL * 1024 * 1024;
+    asio::io_context io{1};
+    scripted_server server(io,
+                           {{{split_into_parts(good_head + "\r\nhello", part_mode), sample.end}}});
+    std::vector<mesh::event> events;
+    app_client client(io, {"127.0.0.1", server.port()}, [&](mesh::event event) {
+        if (!std::holds_alternative<mesh::backend_not_listening>(event)) {
+            events.push_back(std::move(event));
+        }
+    });
+    auto request = make_request(1);
+    auto content = std::make_shared<mesh::request>(*request.content);
+    content->method = "POST";
+    content->body.assign(upload_bytes, 'u');
+    request.content = std::move(content);
+    client.send(request);
+    BOOST_REQUIRE(run_long(io, [&] { return events.size() == 1; }));
+    BOOST_TEST(std::holds_alternative<mesh::backend_answered>(events.front()) ==
+               sample.is_complete);
+}
+
+namespace {
+
 struct late_connection_case {
     const char* name;
     /// Time until the deadline when the request is handed over.
