Own interface: reject an answer whose connection was reset during the upload

What callers saw: the same as on the users' platform, an answer's part as the whole (MIXED). Cause: the write of the request took the report of the reset, as in app_client. Change: an attempt whose write failed counts as broken, so that an answer which ends with its connection does. Looked for elsewhere: the clients of the store and of the command line write their whole request before they read; frames between nodes state their lengths.

--- a/src/libshell/upstream_attempt.cpp
+++ b/src/libshell/upstream_attempt.cpp
@@ -97,6 +97,7 @@
     }
     sending_ = false;
     if (result == http_channel::flush_result::failed) {
+        broken_ = true;
         // The answer may have come before the connection broke; the pending read tells.
         if (channel_->sent_bytes() == sent_before_ && !has_head_) {
             asio::post(io_, [self = shared_from_this()] { self->fail(attempt_failure::not_sent); });
@@ -126,6 +127,7 @@
 void upstream_attempt::on_flushed(http_channel& /*channel*/, error_code error)
 {
     sending_ = false;
+    broken_ = broken_ || error;
     if (owner_ == nullptr) {
         return;
     }
--- a/src/libshell/upstream_attempt.h
+++ b/src/libshell/upstream_attempt.h
@@ -101,6 +101,8 @@
     bool has_head_ = false;
     bool no_body_ = false;
     bool input_ended_ = false;
+    /// The connection broke. The system reports that once, to a read or to a write: reads see an
+    /// orderly end after a write that failed.
     bool broken_ = false;
 };
 
