--- a/testsuite/sidecar/nodes.py
+++ b/testsuite/sidecar/nodes.py
@@ -28,12 +28,12 @@
 _next_ports = range(0)
 
 
-def boot_settings(name, service, app_port, listen_ports, store_port, zone="z1"):
+def boot_settings(name, service, app_port, listen_ports, store_port, zone="z1", limits=None):
     inbound_port, outbound_port, ready_port, control_port, peer_port = listen_ports
     address = lambda port: f"127.0.0.1:{port}"
     return {
         "self": {"node": name, "ip": "127.0.0.1", "zone": zone, "service": service,
-                 "app_address": address(app_port), "limits": {"memory_mb": 260}},
+                 "app_address": address(app_port), "limits": limits or {"memory_mb": 260}},
         "network": {"listen": {"inbound": address(inbound_port), "outbound": address(outbound_port),
                                "ready": address(ready_port), "control": address(control_port)},
                     "internal_port_range": [peer_port, peer_port + 1]},
@@ -76,7 +76,7 @@
 
 class Node:
     def __init__(self, program, folder, name, service, instance, store_port, backend=None,
-                 zone="z1"):
+                 zone="z1", limits=None):
         """Starts a node and its backend server.
 
         With `backend`, the caller starts the backend server itself, on app_port.
@@ -91,7 +91,7 @@
             self.server = standin.start_backend(self.backend, self.app_port)
         self.settings_path = os.path.join(folder, name + ".json")
         self.settings = boot_settings(name, service, self.app_port, [*listen_ports, self.peer_port],
-                                      store_port, zone)
+                                      store_port, zone, limits)
         self.write_settings(json.dumps(self.settings))
         self.log_file = open(os.path.join(folder, name + ".log"), "w+", encoding="utf-8")
         self.program = program
--- a/testsuite/sidecar/standin.py
+++ b/testsuite/sidecar/standin.py
@@ -68,6 +68,8 @@
         self.run_counts = {}
         self.expected = []
         self.callers = set()
+        # Length of the answers to requests whose path ends with /long.
+        self.long_answer_bytes = 0
 
 
 def _reply(handler, status, body, headers=()):
@@ -93,7 +95,9 @@
                 return _reply(self, 421, b"", [("Request-Id", request_id)])
             backend.run_counts[request_id] = backend.run_counts.get(request_id, 0) + 1
             backend.callers.add(self.headers["Caller-Service"])
-            return _reply(self, 200, b"done " + body,
+            is_long = self.path.endswith("/long")
+            answer = b"l" * backend.long_answer_bytes if is_long else b"done " + body[:64]
+            return _reply(self, 200, answer,
                           [("Request-Id", request_id), ("Response-Signature", "s-" + request_id),
                            ("Server-Load", "1,0,4")])
 
