Limit the client connections of a node

What callers saw: clients that open connections and stop within the head of a request used up the descriptors. Cause: a listener accepted connections without a limit, and after a lack of descriptors it tried again at once. Change: each client listener keeps at most a quarter of max_fds open. Beyond that the connection that has been idle or has stalled for longest, a second at least, is closed for the new one; if there is none, the new one is closed unread. Evidence: case_hostile_clients idle_connections failed before (619 descriptors of 400).

--- a/src/libmesh/mesh_settings.cpp
+++ b/src/libmesh/mesh_settings.cpp
@@ -23,6 +23,7 @@
     add_if_changed("control", current.control == updated.control);
     add_if_changed("peers", current.peers == updated.peers);
     add_if_changed("memory", current.memory_bytes == updated.memory_bytes);
+    add_if_changed("descriptors", current.max_descriptors == updated.max_descriptors);
     add_if_changed("metrics", current.metrics == updated.metrics);
     return out;
 }
--- a/src/libmesh/mesh_settings.h
+++ b/src/libmesh/mesh_settings.h
@@ -74,8 +74,9 @@
     listen_address metrics;
     listen_address store;
     mesh_bounds bounds;
-    /// Memory in bytes that the process may use; 0: not stated, no limit.
+    /// Memory in bytes and descriptors that the process may use; 0: not stated, no limit.
     std::size_t memory_bytes = 0;
+    std::size_t max_descriptors = 0;
 };
 
 /// Differences between the settings in force and a changed settings file.
--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -446,6 +446,14 @@
     answer_share_.reset();
 }
 
+std::optional<std::chrono::steady_clock::time_point> http_connection::idle_since() const
+{
+    const bool at_work =
+        std::any_of(pending_.begin(), pending_.end(),
+                    [](const pending_request& request) { return !request.reply.has_value(); });
+    return at_work || closed_ ? std::nullopt : std::optional(active_at_);
+}
+
 http_listener::http_listener(asio::io_context& io, const std::string& host, std::uint16_t port,
                              http_handlers handlers,
                              std::shared_ptr<request_counter> request_numbers,
@@ -483,15 +491,38 @@
 
 void http_listener::add(tcp::socket socket)
 {
-    if (connections_.size() % sweep_interval == 0) {
+    if (connections_.size() % sweep_interval == 0 || connections_.size() >= capacity_.connections) {
         remove_closed();
     }
+    if (connections_.size() >= capacity_.connections && !close_longest_idle()) {
+        // Closed unread: the client may send its request elsewhere.
+        return;
+    }
     const auto connection = std::make_shared<http_connection>(std::move(socket), handlers_, limits_,
                                                               *request_numbers_, capacity_.budget);
     connections_.push_back(connection);
     connection->start();
 }
 
+bool http_listener::close_longest_idle()
+{
+    std::shared_ptr<http_connection> longest;
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& weak_connection : connections_) {
+        const auto connection = weak_connection.lock();
+        const auto idle_since = connection ? connection->idle_since() : std::nullopt;
+        if (idle_since && now - *idle_since >= memory_budget::stall_limit &&
+            (!longest || *idle_since < *longest->idle_since())) {
+            longest = connection;
+        }
+    }
+    if (longest) {
+        longest->close_now();
+        remove_closed();
+    }
+    return longest != nullptr;
+}
+
 void http_listener::remove_closed()
 {
     std::erase_if(connections_, [](const auto& weak_connection) {
--- a/src/libsidecar/http_listener.h
+++ b/src/libsidecar/http_listener.h
@@ -54,6 +54,9 @@
 struct listener_capacity {
     /// Bodies that are read, at work or not yet written. Listeners may share it.
     std::shared_ptr<memory_budget> budget = std::make_shared<memory_budget>(capacity_for(0));
+    /// Open connections. At the limit the one that has been idle or has stalled for longest is
+    /// closed for a new one.
+    std::size_t connections = std::numeric_limits<std::size_t>::max();
 };
 
 /// An answer without its status line, Content-Length and Connection fields, which
@@ -90,6 +93,8 @@
     /// The bytes of the request that on_request receives. It keeps them for as long as it keeps the
     /// request's body. Null for a request without a body.
     memory_budget::share_ptr take_body_share() { return std::move(body_share_); }
+    /// Since when nothing was received or sent; none while a request is at work.
+    std::optional<std::chrono::steady_clock::time_point> idle_since() const;
     bool is_closed() const { return closed_; }
     void close_now();
     /// Answers a request. Does nothing if the connection is closed.
@@ -174,6 +179,8 @@
 private:
     void accept_next();
     void add(boost::asio::ip::tcp::socket socket);
+    /// Closes the connection that has been idle for longest. Returns false when none is idle.
+    bool close_longest_idle();
     void remove_closed();
 
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -47,6 +47,11 @@
 /// checked every 200 ms.
 constexpr auto timer_delay_threshold = 250ms;
 
+/// Descriptors of the process for each client connection that a listener may have open: two
+/// listeners take half of them, the connections to nodes, the backend server and the store the
+/// rest.
+constexpr std::size_t descriptors_per_client = 4;
+
 /// Time since the machine started, including the time for which it was suspended.
 duration time_with_suspensions()
 {
@@ -186,6 +191,9 @@
 {
     listener_capacity out;
     out.budget = budget_;
+    if (settings_.max_descriptors > 0) {
+        out.connections = settings_.max_descriptors / descriptors_per_client;
+    }
     return out;
 }
 
