--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -149,21 +149,28 @@
     read_body();
 }
 
+memory_budget::share_ptr http_connection::open_share()
+{
+    return budget_->open([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->handlers_.on_limit("stalled");
+            self->close_now();
+        }
+    });
+}
+
 bool http_connection::hold_body(std::size_t bytes)
 {
     if (bytes == 0) {
         return true;
     }
     if (!body_share_) {
-        body_share_ = budget_->open([weak = weak_from_this()] {
-            if (const auto self = weak.lock()) {
-                self->close_now();
-            }
-        });
+        body_share_ = open_share();
     }
     if (body_share_->resize(bytes)) {
         return true;
     }
+    handlers_.on_limit("memory");
     reading_ = false;
     parser_.reset();
     body_share_.reset();
@@ -300,13 +307,10 @@
         return true;
     }
     if (!answer_share_) {
-        answer_share_ = budget_->open([weak = weak_from_this()] {
-            if (const auto self = weak.lock()) {
-                self->close_now();
-            }
-        });
+        answer_share_ = open_share();
     }
     if (!answer_share_->resize(bytes)) {
+        handlers_.on_limit("memory");
         close_now();
         return false;
     }
@@ -494,9 +498,12 @@
     if (connections_.size() % sweep_interval == 0 || connections_.size() >= capacity_.connections) {
         remove_closed();
     }
-    if (connections_.size() >= capacity_.connections && !close_longest_idle()) {
-        // Closed unread: the client may send its request elsewhere.
-        return;
+    if (connections_.size() >= capacity_.connections) {
+        handlers_.on_limit("connections");
+        if (!close_longest_idle()) {
+            // Closed unread: the client may send its request elsewhere.
+            return;
+        }
     }
     const auto connection = std::make_shared<http_connection>(std::move(socket), handlers_, limits_,
                                                               *request_numbers_, capacity_.budget);
--- a/src/libsidecar/http_listener.h
+++ b/src/libsidecar/http_listener.h
@@ -37,6 +37,10 @@
     /// A handler threw an exception, which closes its connection.
     std::function<void(const std::string&)> on_failure = [](const std::string&) {
     };
+    /// A client met a limit that all clients share: "memory" (refused), "stalled" or "connections"
+    /// (closed for others).
+    std::function<void(const std::string&)> on_limit = [](const std::string&) {
+    };
     /// Whether connections are to be closed after their next answer.
     std::function<bool()> is_closing = [] {
         return false;
@@ -116,6 +120,8 @@
     void read_body();
     void on_body_part(boost::system::error_code error);
     void on_body(boost::system::error_code error);
+    /// A share of the budget that this connection gives back by closing when it has stalled.
+    memory_budget::share_ptr open_share();
     /// Accounts for the body so far or, when it is stated, its whole length. Refuses the request
     /// and returns false when there is no room.
     bool hold_body(std::size_t bytes);
--- a/src/libsidecar/memory_budget.cpp
+++ b/src/libsidecar/memory_budget.cpp
@@ -90,7 +90,7 @@
         for (auto* other : shares_) {
             const bool is_same_kind = (other->bytes_ > small_body_bytes) == needs_large;
             if (other != &holder && other->give_way_ && other->bytes_ > 0 && is_same_kind &&
-                now - other->progress_at_ >= stall_limit &&
+                now - other->progress_at_ >= stalled_after_ &&
                 (longest == nullptr || other->progress_at_ < longest->progress_at_)) {
                 longest = other;
             }
--- a/src/libsidecar/memory_budget.h
+++ b/src/libsidecar/memory_budget.h
@@ -32,7 +32,11 @@
     /// A holder that has made no progress for this long gives way to others.
     static constexpr std::chrono::milliseconds stall_limit{1'000};
 
-    explicit memory_budget(budget_capacity capacity) : capacity_(capacity) {}
+    explicit memory_budget(budget_capacity capacity,
+                           std::chrono::milliseconds stalled_after = stall_limit)
+        : capacity_(capacity), stalled_after_(stalled_after)
+    {
+    }
 
     /// Bytes of one holder; given back when it is destroyed.
     class share {
@@ -77,6 +81,7 @@
     std::size_t& held_for(std::size_t bytes);
 
     budget_capacity capacity_;
+    std::chrono::milliseconds stalled_after_;
     budget_capacity held_;
     std::list<share*> shares_;
     std::uint64_t refusals_ = 0;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -178,6 +178,9 @@
         connections_by_request_.erase(request_number);
         post(mesh::client_disconnected{call_id{request_number}});
     };
+    out.on_limit = [this](const std::string& limit) {
+        write_log({log_level::warning, "client.limited", "", {{"limit", limit}}});
+    };
     out.is_closing = [this] {
         return node_.is_stopping();
     };
--- a/testsuite/sidecar/hostile_clients.py
+++ b/testsuite/sidecar/hostile_clients.py
@@ -12,7 +12,7 @@
 import time
 
 import standin
-from nodes import Node, free_ports, operator_config, wait_until
+from nodes import Node, free_ports, operator_config, send_request, wait_until
 
 MIB = 1024 * 1024
 MEMORY_MB = 96
@@ -131,6 +131,10 @@
         config["limits"]["max_body_bytes"] = BODY_BYTES
         store.put_row("op", "config", config)
         wait_until("a request is served", lambda: nodes[0].send("/a/x", "calm")[0] == 200)
+        longest = send_request(nodes[0].outbound_port, "POST", "/a/x", b"x" * BODY_BYTES,
+                               {"Host": "h.example", "Request-Id": "longest",
+                                "Deadline-Ms": "20000"})
+        assert longest[0] == 200, f"a single body of full length was answered {longest[0]}"
         watches = [Watch(node) for node in nodes]
         clients = start_crowd(nodes[0].outbound_port, count, act)
         end = time.monotonic() + CROWD_S
