Ignore results from before a restoration of the store

Cause: a review of the fix found paths by which answers that cross the restoration still act: a poll that was sent in the era before could skip changes below its version; a status that was read or written before it was believed, or made each later write expect a row that is gone; an era that another node overstated made each read one of the whole table; every node told every other one of the era. Change: a poll whose answer is of another era than its position is followed by a read of the whole table; a whole table that was sent for in the latest known era is current; results of an earlier era are dropped, and after a conflict the status row is expected to be absent until it is read; a status refers to an order by its version and its release; only nodes that no other node told broadcast the era; nodes are listed after the last write of the own row. Evidence: rollouts_test has the sequences of the status; the others were found by reading.

--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -617,11 +617,13 @@
 
 void node::handle(const store_restored& input)
 {
-    store_era_ = std::max(store_era_, input.era);
     rollouts_.on_store_restored(input.era);
     stored_quarantine_.clear();
-    // The nodes that do not read the store learn of it from the state.
-    broadcast_state();
+    if (input.era > store_era_) {
+        // This node was not told by another one: the others learn of it from the state.
+        store_era_ = input.era;
+        broadcast_state();
+    }
 }
 
 void node::enter_store_era(std::int64_t era)
--- a/src/libmesh/rollouts.cpp
+++ b/src/libmesh/rollouts.cpp
@@ -45,6 +45,11 @@
     return store_position::from_packed(order.row_version).version();
 }
 
+bool refers_to(const rollout_status& status, const rollout_order& order)
+{
+    return status.order == version_in_store(order) && status.target == order.target;
+}
+
 move_spec make_move_spec(const rollout_view& view, const rollouts::limits& allowed)
 {
     move_spec out;
@@ -107,6 +112,11 @@
                        });
 }
 
+bool rollouts::is_of_earlier_era(std::int64_t row_version) const
+{
+    return store_position::from_packed(row_version).era() < store_era_;
+}
+
 void rollouts::on_store_restored(std::int64_t era)
 {
     store_era_ = std::max(store_era_, era);
@@ -148,11 +158,11 @@
 void rollouts::on_status(const rollout_status_read& read)
 {
     auto& view = views_[read.status.service];
-    if (read.row_version < view.status_version) {
+    if (read.row_version < view.status_version || is_of_earlier_era(read.row_version)) {
         return;
     }
     view.status_version = read.row_version;
-    if (view.order.row_version == 0 || read.status.order != version_in_store(view.order)) {
+    if (view.order.row_version == 0 || !refers_to(read.status, view.order)) {
         return;
     }
     view.running_status_written = true;
@@ -166,12 +176,17 @@
 {
     auto& view = views_[written.status.service];
     view.status_write_pending = false;
-    if (written.result != rollout_status_written::outcome::written) {
+    if (written.result == rollout_status_written::outcome::conflict) {
+        // The row is read again, unless it is gone.
+        view.status_version = 0;
+    }
+    if (written.result != rollout_status_written::outcome::written ||
+        is_of_earlier_era(written.row_version)) {
         view.next_status_write = now + status_write_backoff;
         return;
     }
     view.status_version = std::max(view.status_version, written.row_version);
-    if (written.status.order != version_in_store(view.order)) {
+    if (!refers_to(written.status, view.order)) {
         return;
     }
     view.running_status_written = true;
@@ -582,8 +597,7 @@
 {
     const bool final_phase = view.phase != rollout_phase::running;
     const bool is_due = final_phase ? !view.final_status_written : !view.running_status_written;
-    const bool is_in_store =
-        store_position::from_packed(view.order.row_version).era() >= store_era_;
+    const bool is_in_store = !is_of_earlier_era(view.order.row_version);
     if (!is_due || !is_in_store || view.status_write_pending || now < view.next_status_write) {
         return;
     }
--- a/src/libmesh/rollouts.h
+++ b/src/libmesh/rollouts.h
@@ -187,6 +187,8 @@
     static bool is_written_again(const rollout_view& view, const rollout_order& order);
     /// Whether `order` is one that the known order has replaced.
     static bool is_superseded(const rollout_view& view, const rollout_order& order);
+    /// The row was written before the store last came back from a copy, as far as is known.
+    bool is_of_earlier_era(std::int64_t row_version) const;
     /// Keeps the state of the roll-out, whose order has another row version now.
     void follow_order(rollout_view& view, std::int64_t row_version);
     /// Replaces an earlier order of the service and resets the state of its roll-out.
--- a/src/libmesh/rollouts_test.cpp
+++ b/src/libmesh/rollouts_test.cpp
@@ -186,3 +186,40 @@
     BOOST_TEST(again.writes.front().expected_version == 0);
     BOOST_TEST((again.writes.front().status.phase == rollout_phase::completed));
 }
+
+// Guards against a status write that is repeated for ever after its row was lost, and against one
+// of the lost row that is believed written.
+BOOST_AUTO_TEST_CASE(results_from_before_the_restoration_are_ignored)
+{
+    const rollouts::limits allowed{0.1, true, [](const auto&) { return 1s; },
+                                   [](const auto&, const auto&) {
+                                       return true;
+                                   }};
+    using outcome = rollout_status_written::outcome;
+    rollouts tested;
+    tested.on_order({service, target, 14s, store_position{1, 9}.packed()}, start);
+    tested.on_share(make_share(store_position{1, 9}.packed(), rollout_phase::completed), start);
+    auto now = start;
+    const auto first = tested.decide(now, allowed);
+    BOOST_REQUIRE_EQUAL(first.writes.size(), 1U);
+    tested.on_store_restored(2);
+    tested.on_order({service, target, 14s, store_position{2, 9}.packed()}, now);
+    tested.on_written(
+        {first.writes.front().status, outcome::written, store_position{1, 12}.packed()}, now);
+    tested.on_status({first.writes.front().status, store_position{1, 12}.packed()});
+    now += 1s;
+    const auto second = tested.decide(now, allowed);
+    BOOST_REQUIRE_EQUAL(second.writes.size(), 1U);
+    BOOST_TEST(second.writes.front().expected_version == 0);
+    // A row that was read in this era and is gone since: the conflict finds none.
+    tested.on_written({second.writes.front().status, outcome::conflict, 0}, now);
+    tested.on_status(
+        {{service, old_release, 3, rollout_phase::completed}, store_position{2, 4}.packed()});
+    now += 1s;
+    const auto third = tested.decide(now, allowed);
+    BOOST_REQUIRE_EQUAL(third.writes.size(), 1U);
+    BOOST_TEST(third.writes.front().expected_version == 4);
+    tested.on_written({third.writes.front().status, outcome::conflict, 0}, now);
+    now += 1s;
+    BOOST_TEST(tested.decide(now, allowed).writes.front().expected_version == 0);
+}
--- a/src/libsidecar/store_follower.cpp
+++ b/src/libsidecar/store_follower.cpp
@@ -54,7 +54,7 @@
 
 void store_follower::set_address(const mesh::listen_address& store)
 {
-    whole_table_needed_ = false;
+    whole_table_needed_ = true;
     call_client_.set_address(store);
     feed_client_.set_address(store);
 }
@@ -167,11 +167,10 @@
     own_row_version_ = platform::read_written_version(reply.body);
     report_departures({});
     on_event_(mesh::departures_stored{revision});
-    if (!std::exchange(nodes_listed_, true)) {
-        list_nodes();
-    }
     if (announce_again_) {
         announce();
+    } else if (!std::exchange(nodes_listed_, true)) {
+        list_nodes();
     }
 }
 
@@ -394,6 +393,10 @@
         feed_pending_ = false;
         return;
     }
+    if (whole_table_needed_) {
+        read_operator_table();
+        return;
+    }
     note_feed_sent();
     call(feed_client_,
          platform::watch_table(platform::operator_table, read_up_to_.version(), long_poll_timeout_),
@@ -416,7 +419,9 @@
         retry_later(reply, retry);
         return;
     }
-    if (!whole_table && whole_table_needed_) {
+    // A poll tells nothing of what the store lost, nor of what was written below its version.
+    const bool crossed_eras = feed_sent_at_position_.era() != position(reply, 0).era();
+    if (!whole_table && (whole_table_needed_ || crossed_eras)) {
         read_operator_table();
         return;
     }
@@ -457,7 +462,8 @@
              {"read_up_to", std::to_string(feed_sent_at_position_.version())},
              {"whole_table", whole_table ? "true" : "false"}});
     }
-    if (decreased && whole_table && reply.era == 0 && feed_sent_in_era_ == era_) {
+    if (decreased && whole_table && reply.era == 0 && feed_sent_in_era_ == era_ &&
+        feed_sent_at_position_.era() == era_) {
         // The store states no era, but only a store that came back from a copy goes back.
         enter_era(era_ + 1);
         feed_sent_in_era_ = era_;
@@ -476,7 +482,8 @@
     }
     const mesh::store_position read_up_to(era, answer.store_version);
     read_up_to_ = whole_table ? read_up_to : std::max(read_up_to_, read_up_to);
-    whole_table_needed_ = whole_table_needed_ && era < era_;
+    // The store is linearizable: a read that was sent in the latest known era is current.
+    whole_table_needed_ = whole_table_needed_ && !(whole_table && feed_sent_in_era_ == era_);
     histories_gone_in_a_row_ = whole_table ? histories_gone_in_a_row_ : 0;
     event.read_up_to = read_up_to_.packed();
     event.fresh = true;
