Close the gaps of the limits on bodies and connections

Cause: a review of the limits found: a connection could be closed by its own request for room and its share used after that; requests at work kept answers back, which closed connections of ordinary callers; a byte a second counted as progress; an idle connection to the backend server kept the last body and its share; bodies in chunks were accounted for by their first piece; a refused body went on between nodes, and the refusal stated a load of zero; stalled clients were closed although that made no room; control, ready and metrics had no limits; descriptors for files were given to clients. A body has idle_timeout_ms for all of it, as before. Evidence: new case trickled_bodies; each case also sends three long bodies in a row in calm and one beside the crowd. Crowd and bounds are as they were.

--- a/src/libmesh/body_parts.h
+++ b/src/libmesh/body_parts.h
@@ -19,6 +19,9 @@
 /// Longest body that is sent to another node.
 inline constexpr std::size_t max_split_body_bytes = 1024UL * 1024 * 1024;
 
+/// Why a node did not take a body. Its message states no load.
+inline constexpr const char* no_memory_reason = "memory";
+
 /// Parts that no split message announced, or that are longer than announced.
 class body_part_error : public std::runtime_error {
 public:
--- a/src/libmesh/node_peers.cpp
+++ b/src/libmesh/node_peers.cpp
@@ -544,7 +544,7 @@
     if (from != nullptr) {
         const auto* route_name =
             known == attempts_.end() ? nullptr : &calls_.at(known->second).route_config->name;
-        if (route_name != nullptr && frame.__isset.load) {
+        if (route_name != nullptr && frame.reason != no_memory_reason) {
             update_peer_load(*from, frame.load, route_name);
         }
     }
--- a/src/libsidecar/app_client.cpp
+++ b/src/libsidecar/app_client.cpp
@@ -466,6 +466,8 @@
 void app_client::implementation::connection::become_idle()
 {
     idle_since_ = steady_clock::now();
+    // An idle connection keeps no body.
+    request_.content.reset();
     if (owner_->closed) {
         close();
         return;
--- a/src/libsidecar/http_listener.cpp
+++ b/src/libsidecar/http_listener.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t sweep_interval = 64;
 /// Bodies longer than this are read in large blocks.
 constexpr std::size_t large_read_threshold_bytes = 16ULL * 1024;
+/// Answers of one connection up to this are written whatever the others hold; the number of
+/// connections is limited.
+constexpr std::size_t free_answer_bytes = 16ULL * 1024;
 /// A body without a stated length gets room for this part of its bytes more at a time.
 constexpr std::size_t growth_divisor = 4;
 /// Delay before the next connection is accepted after a failure, such as a lack of descriptors.
@@ -62,11 +65,11 @@
 
 http_connection::http_connection(tcp::socket socket, const http_handlers& handlers,
                                  http_limits limits, request_counter& request_numbers,
-                                 std::shared_ptr<memory_budget> budget)
+                                 const listener_capacity& capacity)
     : socket_(std::move(socket)), timer_(socket_.get_executor()), handlers_(handlers),
       limits_(limits), request_numbers_(request_numbers),
-      input_(limits.header_bytes + framing_allowance_bytes), budget_(std::move(budget)),
-      write_timer_(socket_.get_executor())
+      input_(limits.header_bytes + framing_allowance_bytes), request_budget_(capacity.requests),
+      answer_budget_(capacity.answers), write_timer_(socket_.get_executor())
 {
 }
 
@@ -146,12 +149,13 @@
         on_body({});
         return;
     }
+    arm_idle_timer();
     read_body();
 }
 
-memory_budget::share_ptr http_connection::open_share()
+memory_budget::share_ptr http_connection::open_share(const std::shared_ptr<memory_budget>& budget)
 {
-    return budget_->open([weak = weak_from_this()] {
+    return budget->open([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->handlers_.on_limit("stalled");
             self->close_now();
@@ -165,9 +169,15 @@
         return true;
     }
     if (!body_share_) {
-        body_share_ = open_share();
+        body_share_ = open_share(request_budget_);
+    }
+    // Another connection that gives way may bring about the end of this one.
+    const auto share = body_share_;
+    const bool has_room = share->resize(bytes);
+    if (closed_) {
+        return false;
     }
-    if (body_share_->resize(bytes)) {
+    if (has_room) {
         return true;
     }
     handlers_.on_limit("memory");
@@ -184,48 +194,64 @@
 
 void http_connection::read_body()
 {
-    arm_idle_timer();
     if (parser_->get().body().size() > large_read_threshold_bytes) {
         input_.reserve(framing_allowance_bytes);
     }
     http::async_read_some(socket_, input_, *parser_,
-                          [self = shared_from_this()](error_code error, std::size_t) {
-                              self->guard([&] { self->on_body_part(error); });
+                          [self = shared_from_this()](error_code error, std::size_t received) {
+                              self->guard([&] { self->on_body_part(error, received); });
                           });
 }
 
-void http_connection::on_body_part(error_code error)
+void http_connection::on_body_part(error_code error, std::size_t received)
 {
-    active_at_ = std::chrono::steady_clock::now();
+    note_activity(received);
     if (closed_ || error || parser_->is_done()) {
         on_body(error);
         return;
     }
-    if (parser_->content_length()) {
-        body_share_->note_progress();
-    } else if (!hold_growing_body()) {
+    if (!parser_->content_length() && !hold_growing_body()) {
         return;
     }
+    if (body_share_) {
+        body_share_->note_progress(received);
+    }
     read_body();
 }
 
 bool http_connection::hold_growing_body()
 {
     auto& body = parser_->get().body();
-    if (body.capacity() - body.size() >= framing_allowance_bytes) {
-        body_share_->note_progress();
+    const auto growth = body.size() <= large_read_threshold_bytes
+                            ? large_read_threshold_bytes
+                            : std::max(framing_allowance_bytes, body.size() / growth_divisor);
+    const auto held = body_share_ ? body_share_->bytes() : 0;
+    if (held >= body.capacity() && body.capacity() >= body.size() + growth / 2) {
         return true;
     }
-    const auto capacity =
-        body.size() + std::max(framing_allowance_bytes, body.size() / growth_divisor);
-    if (!hold_body(body.size() > small_body_bytes ? capacity
-                                                  : std::max<std::size_t>(1, body.size()))) {
+    const auto capacity = body.size() + growth;
+    if (!hold_body(std::max(capacity, body.capacity()))) {
         return false;
     }
-    body.reserve(capacity);
+    if (body.capacity() < capacity) {
+        // A string that grows by itself doubles its capacity.
+        std::string larger;
+        larger.reserve(capacity);
+        larger.append(body);
+        body.swap(larger);
+    }
     return true;
 }
 
+void http_connection::note_activity(std::size_t bytes)
+{
+    active_bytes_ += bytes;
+    if (active_bytes_ >= min_progress_bytes) {
+        active_bytes_ = 0;
+        active_at_ = std::chrono::steady_clock::now();
+    }
+}
+
 void http_connection::on_body(error_code error)
 {
     timer_.cancel();
@@ -245,8 +271,12 @@
         close_now();
         return;
     }
+    active_at_ = std::chrono::steady_clock::now();
     auto request = parser_->release();
     parser_.reset();
+    if (input_.size() == 0) {
+        input_.shrink_to_fit();
+    }
     if (body_share_) {
         body_share_->keep();
     }
@@ -274,7 +304,7 @@
     http_reply reply;
     reply.status = status;
     reply.head = fields;
-    reply.body = shell::error_json("bad_request", reason);
+    reply.body = shell::error_json(status == 503 ? "memory" : "bad_request", reason);
     next.reply = std::move(reply);
     closing_ = true;
     pending_.push_back(std::move(next));
@@ -302,14 +332,19 @@
     for (const auto& answered : pending_) {
         bytes += answered.reply ? body_of(*answered.reply).size() : 0;
     }
-    if (bytes == 0) {
+    if (bytes <= free_answer_bytes) {
         answer_share_.reset();
         return true;
     }
     if (!answer_share_) {
-        answer_share_ = open_share();
+        answer_share_ = open_share(answer_budget_);
+    }
+    const auto share = answer_share_;
+    const bool has_room = share->resize(bytes);
+    if (closed_) {
+        return false;
     }
-    if (!answer_share_->resize(bytes)) {
+    if (!has_room) {
         handlers_.on_limit("memory");
         close_now();
         return false;
@@ -351,6 +386,10 @@
     socket_.async_write_some(std::array<asio::const_buffer, 2>{head, body},
                              [self = shared_from_this()](error_code error, std::size_t written) {
                                  self->written_bytes_ += written;
+                                 self->note_activity(written);
+                                 if (self->answer_share_) {
+                                     self->answer_share_->note_progress(written);
+                                 }
                                  self->guard([&] { self->on_written(error); });
                              });
 }
@@ -358,7 +397,6 @@
 void http_connection::on_written(error_code error)
 {
     write_timer_.cancel();
-    active_at_ = std::chrono::steady_clock::now();
     if (closed_) {
         return;
     }
@@ -366,14 +404,12 @@
         close_now();
         return;
     }
-    if (answer_share_) {
-        answer_share_->note_progress();
-    }
     if (written_bytes_ < output_.size() + (output_body_ ? output_body_->size() : 0)) {
         write_output();
         return;
     }
     writing_ = false;
+    active_at_ = std::chrono::steady_clock::now();
     output_body_.reset();
     hold_answers();
     const bool close = close_when_written_;
@@ -391,6 +427,9 @@
         return;
     }
     write_next_reply();
+    if (reading_ && pending_.empty() && !writing_) {
+        arm_idle_timer();
+    }
     read_next();
 }
 
@@ -414,7 +453,6 @@
     socket_.async_read_some(input_.prepare(discard_read_bytes),
                             [self = shared_from_this()](error_code error, std::size_t) {
                                 self->reading_ = false;
-                                self->active_at_ = std::chrono::steady_clock::now();
                                 if (error) {
                                     self->close_now();
                                 } else {
@@ -480,7 +518,11 @@
             return;
         }
         if (!error) {
-            add(std::move(socket));
+            try {
+                add(std::move(socket));
+            } catch (const std::exception& failure) {
+                handlers_.on_failure(failure.what());
+            }
             accept_next();
             return;
         }
@@ -506,7 +548,7 @@
         }
     }
     const auto connection = std::make_shared<http_connection>(std::move(socket), handlers_, limits_,
-                                                              *request_numbers_, capacity_.budget);
+                                                              *request_numbers_, capacity_);
     connections_.push_back(connection);
     connection->start();
 }
--- a/src/libsidecar/http_listener.h
+++ b/src/libsidecar/http_listener.h
@@ -56,8 +56,12 @@
 
 /// Limits of all connections of a listener together.
 struct listener_capacity {
-    /// Bodies that are read, at work or not yet written. Listeners may share it.
-    std::shared_ptr<memory_budget> budget = std::make_shared<memory_budget>(capacity_for(0));
+    /// Bodies of requests that are read or at work, and answers that are not written yet. Listeners
+    /// may share them.
+    std::shared_ptr<memory_budget> requests =
+        std::make_shared<memory_budget>(request_capacity_for(0));
+    std::shared_ptr<memory_budget> answers =
+        std::make_shared<memory_budget>(answer_capacity_for(0));
     /// Open connections. At the limit the one that has been idle or has stalled for longest is
     /// closed for a new one.
     std::size_t connections = std::numeric_limits<std::size_t>::max();
@@ -91,13 +95,13 @@
 public:
     http_connection(boost::asio::ip::tcp::socket socket, const http_handlers& handlers,
                     http_limits limits, request_counter& request_numbers,
-                    std::shared_ptr<memory_budget> budget);
+                    const listener_capacity& capacity);
 
     void start();
     /// The bytes of the request that on_request receives. It keeps them for as long as it keeps the
     /// request's body. Null for a request without a body.
     memory_budget::share_ptr take_body_share() { return std::move(body_share_); }
-    /// Since when nothing was received or sent; none while a request is at work.
+    /// Since when too little was received or sent to count; none while a request is at work.
     std::optional<std::chrono::steady_clock::time_point> idle_since() const;
     bool is_closed() const { return closed_; }
     void close_now();
@@ -118,10 +122,12 @@
     void read_next();
     void on_header(boost::system::error_code error);
     void read_body();
-    void on_body_part(boost::system::error_code error);
+    void on_body_part(boost::system::error_code error, std::size_t received);
     void on_body(boost::system::error_code error);
     /// A share of the budget that this connection gives back by closing when it has stalled.
-    memory_budget::share_ptr open_share();
+    memory_budget::share_ptr open_share(const std::shared_ptr<memory_budget>& budget);
+    /// Bytes were received or sent.
+    void note_activity(std::size_t bytes);
     /// Accounts for the body so far or, when it is stated, its whole length. Refuses the request
     /// and returns false when there is no room.
     bool hold_body(std::size_t bytes);
@@ -148,11 +154,13 @@
     boost::beast::flat_buffer input_;
     std::optional<parser> parser_;
     std::deque<pending_request> pending_;
-    std::shared_ptr<memory_budget> budget_;
+    std::shared_ptr<memory_budget> request_budget_;
+    std::shared_ptr<memory_budget> answer_budget_;
     memory_budget::share_ptr body_share_;
     memory_budget::share_ptr answer_share_;
     shell::cancellable_timer write_timer_;
     std::chrono::steady_clock::time_point active_at_ = std::chrono::steady_clock::now();
+    std::size_t active_bytes_ = 0;
     /// Head of the answer that is being written, and its body.
     std::string output_;
     std::shared_ptr<const std::string> output_body_;
--- a/src/libsidecar/memory_budget.h
+++ b/src/libsidecar/memory_budget.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <vector>
 
 namespace camphor::sidecar {
 
@@ -19,9 +20,13 @@
 };
 
 inline constexpr std::size_t small_body_bytes = 64UL * 1024;
+/// Fewer bytes than this are no progress of a transfer that others wait for.
+inline constexpr std::size_t min_progress_bytes = 16UL * 1024;
 
-/// Capacities for a process that may use `memory_bytes`; without limit for 0.
-budget_capacity capacity_for(std::size_t memory_bytes);
+/// Capacities for a process that may use `memory_bytes`; without limit for 0. Requests and answers
+/// have budgets of their own, so that requests at work do not keep answers back.
+budget_capacity request_capacity_for(std::size_t memory_bytes);
+budget_capacity answer_capacity_for(std::size_t memory_bytes);
 
 /// Shared by all connections of a node. Invariant: the shares of each kind do not exceed its
 /// capacity, except for a single large one.
@@ -50,10 +55,11 @@
         share(share&&) = delete;
         share& operator=(share&&) = delete;
 
-        /// Holds this many bytes from now on, which counts as progress. Returns false, and keeps
+        /// Holds this many bytes from now on. Returns false, and keeps
         /// the bytes held before, when there is no room, even after stalled holders gave way.
         bool resize(std::size_t bytes);
-        void note_progress();
+        /// Bytes were received or sent. A few bytes at a time do not count as progress.
+        void note_progress(std::size_t bytes);
         /// From now on the holder cannot give way.
         void keep();
         std::size_t bytes() const { return bytes_; }
@@ -64,6 +70,8 @@
         std::shared_ptr<memory_budget> budget_;
         std::function<void()> give_way_;
         std::size_t bytes_ = 0;
+        /// Bytes received or sent since progress_at_.
+        std::size_t progress_bytes_ = 0;
         clock::time_point progress_at_ = clock::now();
         std::list<share*>::iterator entry_;
     };
@@ -75,7 +83,10 @@
     std::uint64_t evictions() const { return evictions_; }
 
 private:
-    bool fits(const share& holder, std::size_t bytes) const;
+    /// Whether `holder` may have `bytes` once others have given back `freed` bytes of that kind.
+    bool fits(const share& holder, std::size_t bytes, std::size_t freed = 0) const;
+    /// Stalled holders of this kind that can give way, the longest stalled first.
+    std::vector<share*> stalled_holders(const share& except, bool large) const;
     /// Lets stalled holders give way, the longest stalled first, until `holder` may have `bytes`.
     bool make_room(const share& holder, std::size_t bytes);
     std::size_t& held_for(std::size_t bytes);
--- a/src/libsidecar/peer_links.cpp
+++ b/src/libsidecar/peer_links.cpp
@@ -29,8 +29,6 @@
 constexpr std::size_t max_queued_bytes = 32ULL * 1024 * 1024;
 constexpr std::size_t read_chunk_bytes = 16ULL * 1024;
 constexpr int listen_backlog = 1'024;
-/// Why a body was not taken.
-constexpr const char* no_memory_reason = "memory";
 
 } // namespace
 
@@ -38,9 +36,8 @@
 public:
     class link;
 
-    implementation(asio::io_context& context, event_handler handler,
-                   std::shared_ptr<memory_budget> shared_budget)
-        : io(context), on_event(std::move(handler)), budget(std::move(shared_budget)),
+    implementation(asio::io_context& context, event_handler handler, body_budgets shared_budgets)
+        : io(context), on_event(std::move(handler)), budgets(std::move(shared_budgets)),
           acceptor(context)
     {
     }
@@ -50,7 +47,7 @@
 
     asio::io_context& io;
     event_handler on_event;
-    std::shared_ptr<memory_budget> budget;
+    body_budgets budgets;
     tcp::acceptor acceptor;
     peer_counters counters;
     std::map<mesh::link_id, std::shared_ptr<link>> links;
@@ -260,6 +257,7 @@
                     frame = add_part(*frame);
                 }
                 if (frame) {
+                    drop_answered_run(*frame);
                     batch.push_back(std::move(frame));
                 }
                 offset += shell::frame_header_bytes + length;
@@ -274,6 +272,17 @@
         return true;
     }
 
+    /// A run request that is answered before all of it was sent has been refused.
+    void drop_answered_run(const mesh_wire::mesh_frame& frame)
+    {
+        if (!frame.__isset.answer) {
+            return;
+        }
+        if (const auto notice = parts_.drop_run(frame.answer.call)) {
+            queue(shell::encode_frame(*notice));
+        }
+    }
+
     /// A frame whose body is accounted for.
     struct held_frame {
         mesh::frame_ptr frame;
@@ -290,14 +299,14 @@
     /// no body when there is no room.
     mesh::body_ptr hold_answer(mesh_wire::mesh_frame& frame, const mesh::body_ptr& body)
     {
-        auto share = owner_->budget->open();
+        auto share = owner_->budgets.answers->open();
         if (share->resize(body->size())) {
             const auto held = std::make_shared<held_body>(held_body{body, std::move(share)});
             return {held, held->body.get()};
         }
         ++owner_->counters.refused_bodies;
         frame.answer.__set_outcome(mesh_wire::run_outcome::failed);
-        frame.answer.__set_reason(no_memory_reason);
+        frame.answer.__set_reason(mesh::no_memory_reason);
         frame.answer.head.clear();
         return nullptr;
     }
@@ -307,7 +316,8 @@
     mesh::frame_ptr add_split(const mesh_wire::mesh_frame& frame)
     {
         const auto& split = frame.split;
-        auto share = owner_->budget->open();
+        auto share =
+            (split.__isset.run ? owner_->budgets.requests : owner_->budgets.answers)->open();
         // A body that arrives whole is copied once.
         const auto bytes = static_cast<std::size_t>(std::max<std::int64_t>(split.length, 0)) * 2;
         if (share->resize(bytes)) {
@@ -318,7 +328,7 @@
         refused_bodies_[split.body_id] = split.length;
         ++owner_->counters.refused_bodies;
         mesh_wire::run_answer failure;
-        failure.__set_reason(no_memory_reason);
+        failure.__set_reason(mesh::no_memory_reason);
         failure.__set_wait_ms(static_cast<std::int32_t>(memory_budget::stall_limit.count()));
         mesh_wire::mesh_frame out;
         if (split.__isset.run) {
@@ -404,8 +414,8 @@
 }
 
 peer_links::peer_links(asio::io_context& io, const mesh::listen_address& address,
-                       event_handler on_event, std::shared_ptr<memory_budget> budget)
-    : impl_(std::make_shared<implementation>(io, std::move(on_event), std::move(budget)))
+                       event_handler on_event, body_budgets budgets)
+    : impl_(std::make_shared<implementation>(io, std::move(on_event), std::move(budgets)))
 {
     impl_->listen(address);
 }
--- a/src/libsidecar/peer_links.h
+++ b/src/libsidecar/peer_links.h
@@ -27,6 +27,14 @@
     std::uint64_t refused_bodies = 0;
 };
 
+/// Limits of the long bodies under way between nodes.
+struct body_budgets {
+    std::shared_ptr<memory_budget> requests =
+        std::make_shared<memory_budget>(request_capacity_for(0));
+    std::shared_ptr<memory_budget> answers =
+        std::make_shared<memory_budget>(answer_capacity_for(0));
+};
+
 /// Accepts and opens connections to the other nodes. An undecodable frame closes its connection.
 /// The send queue of each connection is bounded: a connection that exceeds the bound, because its
 /// peer reads too slowly, is closed, and the requests on it fail at once.
@@ -36,11 +44,10 @@
 
     /// Listens at `address`. Reports link_opened, link_closed and frame_arrived to `on_event`,
     /// never from within a call to a member function. A run request whose body does not fit into
-    /// `budget` is refused; an answer counts as failed.
+    /// its budget is refused; an answer counts as failed.
     /// @throws boost::system::system_error if the address cannot be listened on
-    peer_links(
-        boost::asio::io_context& io, const mesh::listen_address& address, event_handler on_event,
-        std::shared_ptr<memory_budget> budget = std::make_shared<memory_budget>(capacity_for(0)));
+    peer_links(boost::asio::io_context& io, const mesh::listen_address& address,
+               event_handler on_event, body_budgets budgets = {});
     ~peer_links();
     peer_links(const peer_links&) = delete;
     peer_links& operator=(const peer_links&) = delete;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -47,7 +47,13 @@
 /// checked every 200 ms.
 constexpr auto timer_delay_threshold = 250ms;
 
-/// Descriptors of the process for each client connection that a listener may have open: two
+/// Descriptors that are kept for files.
+constexpr std::size_t file_descriptors = 200;
+constexpr std::size_t min_client_connections = 16;
+/// The backend server, probes and collectors of metrics need few connections and short bodies.
+constexpr std::size_t max_local_connections = 64;
+constexpr std::size_t max_local_body_bytes = 64UL * 1024;
+/// Sockets of the process for each client connection that a listener may have open: two
 /// listeners take half of them, the connections to nodes, the backend server and the store the
 /// rest.
 constexpr std::size_t descriptors_per_client = 4;
@@ -109,10 +115,11 @@
       node_(settings_, boot_time_ms(), std::random_device{}()),
       app_(
           io_, settings_.app, [this](mesh::event event) { post(std::move(event)); },
-          capacity_for(settings_.memory_bytes).small),
-      budget_(std::make_shared<memory_budget>(capacity_for(settings_.memory_bytes))),
+          request_capacity_for(settings_.memory_bytes).small),
+      budgets_{std::make_shared<memory_budget>(request_capacity_for(settings_.memory_bytes)),
+               std::make_shared<memory_budget>(answer_capacity_for(settings_.memory_bytes))},
       peers_(
-          io_, settings_.peers, [this](mesh::event event) { post(std::move(event)); }, budget_),
+          io_, settings_.peers, [this](mesh::event event) { post(std::move(event)); }, budgets_),
       store_(
           io_, settings_.store, node_.record(), mesh::max_read_wait(settings_.bounds),
           [this](mesh::event event) { post(std::move(event)); },
@@ -121,9 +128,12 @@
                 client_request_numbers_, client_capacity()),
       inbound_(io_, settings_.inbound.host, settings_.inbound.port, outbound_handlers(),
                client_request_numbers_, client_capacity()),
-      ready_(io_, settings_.ready.host, settings_.ready.port, ready_handlers()),
-      control_(io_, settings_.control.host, settings_.control.port, control_handlers()),
-      metrics_(io_, settings_.metrics.host, settings_.metrics.port, metrics_handlers()),
+      ready_(io_, settings_.ready.host, settings_.ready.port, ready_handlers(),
+             std::make_shared<request_counter>(), local_capacity()),
+      control_(io_, settings_.control.host, settings_.control.port, control_handlers(),
+               std::make_shared<request_counter>(), local_capacity()),
+      metrics_(io_, settings_.metrics.host, settings_.metrics.port, metrics_handlers(),
+               std::make_shared<request_counter>(), local_capacity()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watch_(
           io_, settings_path, settings_text, [this](const std::string& text) { reload(text); },
@@ -144,6 +154,11 @@
          "",
          {{"service", settings_.service.value()}, {"boot", std::to_string(node_.record().boot)}}});
     mallopt(M_MMAP_THRESHOLD, returned_body_bytes);
+    http_limits local_limits;
+    local_limits.body_bytes = max_local_body_bytes;
+    for (auto* listener : {&ready_, &control_, &metrics_}) {
+        listener->set_limits(local_limits);
+    }
     watch_signals();
     settings_watch_.start();
     store_.start();
@@ -193,13 +208,23 @@
 listener_capacity sidecar::client_capacity() const
 {
     listener_capacity out;
-    out.budget = budget_;
+    out.requests = budgets_.requests;
+    out.answers = budgets_.answers;
     if (settings_.max_descriptors > 0) {
-        out.connections = settings_.max_descriptors / descriptors_per_client;
+        const auto sockets =
+            settings_.max_descriptors - std::min(settings_.max_descriptors, file_descriptors);
+        out.connections = std::max(sockets / descriptors_per_client, min_client_connections);
     }
     return out;
 }
 
+listener_capacity sidecar::local_capacity()
+{
+    listener_capacity out;
+    out.connections = max_local_connections;
+    return out;
+}
+
 http_handlers sidecar::control_handlers()
 {
     http_handlers out;
@@ -568,9 +593,12 @@
     if (const auto age = store_.read_age()) {
         line("camphor_store_read_age_seconds", std::chrono::duration<double>(*age).count());
     }
-    line("camphor_body_bytes_held", static_cast<double>(budget_->held_bytes()));
-    line("camphor_bodies_refused_total", static_cast<double>(budget_->refusals()));
-    line("camphor_stalled_clients_closed_total", static_cast<double>(budget_->evictions()));
+    line("camphor_body_bytes_held",
+         static_cast<double>(budgets_.requests->held_bytes() + budgets_.answers->held_bytes()));
+    line("camphor_bodies_refused_total",
+         static_cast<double>(budgets_.requests->refusals() + budgets_.answers->refusals()));
+    line("camphor_stalled_clients_closed_total",
+         static_cast<double>(budgets_.requests->evictions() + budgets_.answers->evictions()));
     line("camphor_client_connections",
          static_cast<double>(outbound_.connection_count() + inbound_.connection_count()));
     line("camphor_log_lines_left_out_total", static_cast<double>(log_limiter_.total_suppressed()));
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -42,6 +42,8 @@
     http_handlers outbound_handlers();
     /// Limits that the client listeners share.
     listener_capacity client_capacity() const;
+    /// Limits of the listeners for the backend server, probes and metrics.
+    static listener_capacity local_capacity();
     http_handlers control_handlers();
     http_handlers ready_handlers();
     http_handlers metrics_handlers();
@@ -95,7 +97,7 @@
     log_limiter log_limiter_;
     mesh::node node_;
     app_client app_;
-    std::shared_ptr<memory_budget> budget_;
+    body_budgets budgets_;
     peer_links peers_;
     store_follower store_;
     std::shared_ptr<request_counter> client_request_numbers_ = std::make_shared<request_counter>();
--- a/testsuite/sidecar/hostile_clients.py
+++ b/testsuite/sidecar/hostile_clients.py
@@ -51,6 +51,15 @@
     client.sendall(PIECE[1:])
 
 
+def trickle_body(client, name):
+    """Half of a body with a length, then a byte now and then."""
+    client.sendall(head(name, f"Content-Length: {BODY_BYTES}\r\n"))
+    send_pieces(client, BODY_BYTES // len(PIECE) // 2)
+    for _ in range(CROWD_TIMEOUT_S):
+        client.sendall(b"x")
+        time.sleep(0.5)
+
+
 def stall_chunked_body(client, name):
     """All of a body in pieces, without its end."""
     client.sendall(head(name, "Transfer-Encoding: chunked\r\n"))
@@ -73,12 +82,18 @@
 
 
 SCENARIOS = {"stalled_bodies": (BODY_CLIENTS, stall_whole_body),
+             "trickled_bodies": (BODY_CLIENTS, trickle_body),
              "stalled_chunks": (BODY_CLIENTS, stall_chunked_body),
              "whole_bodies": (BODY_CLIENTS, send_whole_body),
              "slow_readers": (READERS, read_nothing),
              "idle_connections": (IDLE_CLIENTS, stall_head)}
 
 
+def send_long(node, name):
+    return send_request(node.outbound_port, "POST", "/a/x", b"x" * BODY_BYTES,
+                        {"Host": "h.example", "Request-Id": name, "Deadline-Ms": "20000"})
+
+
 class Watch:
     """Records the most memory and descriptors that the process has used."""
 
@@ -131,10 +146,9 @@
         config["limits"]["max_body_bytes"] = BODY_BYTES
         store.put_row("op", "config", config)
         wait_until("a request is served", lambda: nodes[0].send("/a/x", "calm")[0] == 200)
-        longest = send_request(nodes[0].outbound_port, "POST", "/a/x", b"x" * BODY_BYTES,
-                               {"Host": "h.example", "Request-Id": "longest",
-                                "Deadline-Ms": "20000"})
-        assert longest[0] == 200, f"a single body of full length was answered {longest[0]}"
+        for number in range(3):
+            status = send_long(nodes[0], f"calm{number}")[0]
+            assert status == 200, f"a single body of full length was answered {status}"
         watches = [Watch(node) for node in nodes]
         clients = start_crowd(nodes[0].outbound_port, count, act)
         end = time.monotonic() + CROWD_S
@@ -148,7 +162,12 @@
             nodes[1].check_in()  # As backend servers do regularly; it may have refused connections.
             return nodes[0].send("/a/x", f"after{next(numbers)}")[0] == 200
 
+        def is_long_request_answered():
+            nodes[1].check_in()
+            return send_long(nodes[0], f"after{next(numbers)}")[0] == 200
+
         wait_until("an ordinary request is answered beside the crowd", is_ordinary_request_answered)
+        wait_until("a long request is answered beside the crowd", is_long_request_answered)
         for watch in watches:
             watch.sample()
             watch.check()
