Reproduce: own interface, changes after the store came back from a copy

What callers saw: nothing in the record; found by looking for the cause of the users' platform on the own interface. Cause: versions of the configuration are compared as if they only rise. A node that holds more than the row `head` tells keeps it, finds no change to catch up with and refuses each order with 503 after 3 s. A node that knows only the copy gives the lost versions out again, which the others drop as old or build on their own. The product is unchanged.

--- a/testsuite/common/mesh.py
+++ b/testsuite/common/mesh.py
@@ -229,6 +229,17 @@
     def set_platform_fault(self, **fault):
         request_json("PUT", f"{HOST}:{self.platform_port}", "/control/fault", fault)
 
+    def take_store_copy(self):
+        self._control_platform("/control/copy")
+
+    def restore_store_copy(self):
+        """Loses what was written since the last copy; its versions are given out again."""
+        self._control_platform("/control/restore")
+
+    def _control_platform(self, path):
+        if request_json("PUT", f"{HOST}:{self.platform_port}", path) is None:
+            raise RuntimeError(f"the platform did not accept {path}")
+
     def wait_http_ready(self, address, path, timeout_s=START_TIMEOUT_S):
         wait_until(lambda: request_json("GET", address, path) is not None, timeout_s,
                    f"a response from {address}{path}")
