--- a/testsuite/run_case.py
+++ b/testsuite/run_case.py
@@ -1,6 +1,7 @@
 """Runs one whole-program case: testsuite/NAME/case.py against a small mesh on loopback.
 
 A case defines `run(mesh, checks)` and calls `checks.expect(condition, description)` for each check.
+It may name another deployment of testsuite/common than "small" in DEPLOYMENT.
 Exit 0 when every check passed, 1 when one failed or none ran.
 """
 import argparse
@@ -54,8 +55,8 @@
     checks = CaseChecks()
     shutil.rmtree(options.out, ignore_errors=True)
     mesh_lib.exit_on_sigterm()
-    with mesh_lib.Mesh(options.build, TESTSUITE_DIR / "common" / "small", options.out,
-                       ports.reserve_block()[0]) as mesh:
+    deployment = TESTSUITE_DIR / "common" / getattr(case, "DEPLOYMENT", "small")
+    with mesh_lib.Mesh(options.build, deployment, options.out, ports.reserve_block()[0]) as mesh:
         try:
             case.run(mesh, checks)
             checks.expect(not mesh.failed_processes(),
