--- a/src/build-scripts/run-tests.bash
+++ b/src/build-scripts/run-tests.bash
@@ -46,7 +46,7 @@
   total=$(sed -n 's/.* tests failed out of \([0-9]*\).*/\1/p' "$log")
   ctest_failed=$(sed -n 's/.*passed, \([0-9]*\) tests failed out of.*/\1/p' "$log")
   while read -r name; do
-    if grep -qE "^ *[0-9]+ - $name \(" "$log"; then
+    if grep -qE "^[[:space:]]*[0-9]+ - $name \(" "$log"; then
       echo "KNOWN FAULT, see KNOWN-RED.txt: $preset $name"
       known_failed=$((known_failed + 1))
     fi
